--- /dev/null
+++ b/eiderhub/balancer.py
@@ -0,0 +1,1085 @@
+"""All decisions of eiderhub. Its types, events and actions stand in eiderhub/interface.py: read that first.
+
+The ordinary path of a request, after "How Airbnb Built Adaptive Traffic Management for a Multi-tenant
+Key-value Store": it is priced in request units (RU) against its tenant's token bucket, while the latency
+ratio shows stress; past a learned in-flight cap it queues; long sojourn in that queue refuses new arrivals;
+it is sent to the less busy of two random members of a random subset of the next tier's endpoints.
+
+Around that stand the departures, each with the failure that it answers: docs/design.md lists them all.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+import zlib
+from collections import deque
+from collections.abc import Sequence
+
+from eiderhub.interface import (
+    Actions,
+    Discovery,
+    Effect,
+    Endpoint,
+    Group,
+    ListForm,
+    Outcome,
+    Readiness,
+    RequestClass,
+    Settings,
+)
+
+# --- request units and buckets ---
+BASE_COST_RU = 1.0  # RU a call costs before anything is known of it
+HINT_RU_PER_US = 1e-5  # RU for each hinted microsecond: a hint of 100 ms doubles the base cost
+LATENCY_RU_PER_US = 5e-7  # RU for each microsecond of latency, charged when an attempt ends: 2 s double it
+REFILL_WINDOW_US = 500_000  # buckets refill this often: a few windows make a burst, one stays readable
+HEADROOM = 0.1  # share added to last window's served RU, so that budgets climb back after a cut
+SERVED_SMOOTHING = 0.15  # weight of the newest window: a quiet copy serves a handful in one window
+BURST_US = 1_500_000  # a bucket holds this long a refill: more lets a large tenant flood the queue
+BURST_RU = 3.0  # and this much more, or a tenant with few calls is called over its share by chance
+ACTIVE_US = 10_000_000  # a tenant unheard of for this long takes no part in the split
+FLOOR_PER_S = 1.0  # requests a second granted at least to a tenant without a stated quota
+COST_WEIGHT = 0.05  # weight of the newest call in the mean cost of a served one
+
+# --- latency ratio ---
+BUCKETS_PER_DOUBLING = 4  # resolution of the latency histograms: a step is 19%
+HISTOGRAM_FROM = 1 / 1024  # lowest latency told apart, as a share of the class's aim
+HISTOGRAM_SIZE = 64  # buckets: up to 64 times the aim
+SHORT_WINDOW_US = 1_500_000  # the short p95 covers one to two of these
+LONG_WINDOW_US = 20_000_000  # and the long p95 one to two of these
+RATIO_EVERY_US = 250_000  # the ratio is read off the histograms this often
+MIN_SAMPLES = 12  # fewer short-term samples say nothing: a few long calls would swing the p95
+NORMAL_SHARE = 0.5  # a long p95 past this share of the aim is no normal state, however long it has lasted
+STRESS_RATIO = 0.7  # below this ratio the lower tiers pay more
+PENALTY = 3.0  # price of the lowest tier under full stress: 1 + this
+
+SCARCITY_WEIGHT = 0.1  # weight of the newest arrival in the share of those that find no room
+SCARCE = 0.2  # past this share room is scarce, however normal the ratio has come to look
+
+# --- concurrency ---
+START_CALLS = 6.0  # in-flight calls an endpoint is taken to bear, from all copies together, before we learn
+FLOOR_CALLS = 2.0  # and in any trouble: a floor that is too low starves sound endpoints once trouble is over
+REMOTE_PART = 0.25  # part of that granted in other zones, whose own callers come first
+MIN_CAP = 0.1  # calls; the sum over many copies must still be small
+DITHER_US = 250_000  # while crowded, a part of a call is granted part of the time: drawn anew so often
+CHANCE_ROOTS = 2.0  # square roots of the cap that calls in flight may exceed it by: arrivals come by chance
+CHANCE_ROOTS_OUTSIDE = 0.5  # the same at the outermost tier, where excess is to be refused
+TARGET_RISE = 2.0  # median latency, against the median seen while uncrowded, at which the cap falls
+TARGET_LEAST_RISE = 1.3  # and the least rise, where the uncrowded median takes much of the aim already
+TARGET_SHARE = 0.3  # nor may the median pass this share of the aim, divided by layer + 1
+BASE_WEIGHT = 0.3  # weight of the newest round in the median that the uncrowded median is taken from
+BASE_DRIFT = 1.01  # rise of the uncrowded median with each round, so that it can follow a lasting change
+ROUND_SAMPLES = 8  # outcomes that make a round: the cap moves once a round
+ROUND_PER_CALL = 1.5  # and so many more for each call of the cap
+GROW_SHARE = 0.1  # growth in a good round, as a share of the cap
+GROW_CALLS = 0.3  # and at least this many calls
+DEEPEST_CUT = 0.6  # a bad round leaves at least this share of the cap
+FULL_COUNTS = 1.0  # an endpoint that turns a call away counts as a call that took this share of its aim
+BINDING = 0.7  # the cap binds when this share of it is in use
+LOW_TIER_SHARE = 0.8  # share of the cap open to the lower tiers, so the rest finds room at once
+LOW_WORTH = 0.5  # tiers worth less than this share of the best class are lower tiers
+
+# --- hold queue ---
+HOLD_SHARE = 0.35  # a call is held for this share of its aim at most
+HOLD_SHARE_INSIDE = 0.5  # inner tiers hold longer: their refusals surface as errors that may have run
+SOJOURN_SHARE = 0.12  # target sojourn as a share of the aim
+SOJOURN_INTERVAL_US = 200_000  # sojourn above target for this long refuses arrivals
+SWEEP_US = 20_000  # how often held calls are looked at
+ANSWER_MARGIN_US = 60_000  # a held call is answered this long before its try ends: early enough to be retried
+
+# --- endpoints ---
+SENT_DECAY = 0.95  # of the work sent, kept from one refill window to the next: a memory of ten seconds
+LEAST_SPARE = 0.1  # part of an even share that free classes keep at endpoints that a bound class fills
+SUBSET_MIN = 5  # endpoints a copy keeps in use: few, so that a quiet one has evidence and warm connections
+SUBSET_PER_CALL = 2.0  # endpoints for each call of the cap: a hot copy spreads wider
+REDRAWS = 4  # tries to draw an endpoint that may take the call
+HEALTH_WEIGHT = 0.3  # weight of the newest outcome in an endpoint's failure share
+FLEET_WEIGHT = 0.02  # and in the failure share of all
+EJECT_FAILING = 0.45  # failure share at which an endpoint is ejected: two failures in a row pass it
+EJECT_VERSUS_PEERS = 0.5  # and this share of all endpoints' failure share more: shared trouble ejects nobody
+MAX_EJECTED = 0.5  # share of the known endpoints, in all zones, that may be out at once
+EJECT_US = 3_000_000  # first ejection; each further one doubles it
+EJECT_MAX_US = 24_000_000  # up to this
+RETURN_US = 4_000_000  # an ejected endpoint climbs back to its full part in this time
+RETURN_FROM = 0.15  # starting with this part
+SLOW_WEIGHT = 0.2  # weight of the newest latency in an endpoint's mean
+SLOW_RANGE = 4.0  # an endpoint counts as at most this many times slower or faster than its peers
+COLD_USE = 0.5  # of the multiple that a cold endpoint bears, the share that all copies together use
+RATE_RISE, RATE_FALL = 0.2, 0.01  # weight of the newest window in a pool's rate
+OUTLIER = 2.0  # endpoints slower than their peers by this are left out of the ratio and the cap
+
+# --- connections ---
+IDLE_FROM_US = 500_000  # idle times are told apart by doublings from here
+IDLE_STEPS = 5  # below that, and four doublings
+SILENT_RISE = 3.0  # an attempt is silent once it took so many usual (median) latencies without an answer
+SILENT_WEIGHT = 0.1  # weight of the newest attempt in the silent share of its idle time
+SILENT_EXCESS = 0.15  # share by which idle connections must be more often silent than fresh ones to be closed
+IDLE_SAMPLES = 5  # attempts before a share says anything
+IDLE_TRIES = 0.1  # part of those taken for dead that is tried all the same: trouble ends unannounced
+
+# --- attempts ---
+HOPELESS = 0.5  # share of the median latency: a call with less time to its aim or its end is not taken
+TRY_VOTES = 50  # calls that must come with another time left before the usual one is taken to have changed
+COPY_RISE = 3.0  # a second copy goes out when the first has taken this many usual (median) latencies
+RETRY_SHARE = 0.1  # retries and second copies allowed for each first attempt
+RETRY_BURST = 5.0  # and this many more
+MAX_TRIES = 3  # attempts from the first tier
+MAX_TRIES_INSIDE = 2  # from inner ones: layers that retry each other multiply
+RETRY_AFTER_SHARE = 0.5  # a refused client is told to wait this share of what it obeys, or up to twice it
+ASK_BACKOFF_US = 500_000  # first wait before subscribing again, doubled up to
+ASK_BACKOFF_MAX_US = 8_000_000
+SPILL_GAIN = 0.5  # how much of a call's worth is taken to be saved by sending it to another zone
+
+UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
+SWEEP, ASK = "sweep", "ask"
+
+
+def may_refuse(effect: Effect, group: Group, may_have_run: bool) -> bool:
+    """Rule 2: whether `shed` is a legal answer; if not, only `surrender` is."""
+    if not may_have_run or effect is Effect.IDEMPOTENT:
+        return True
+    return effect is Effect.DEDUPLICATED and group is Group.ALL
+
+
+def may_resend(
+    effect: Effect,
+    group: Group,
+    window_us: int,
+    first: tuple[int, str, int] | None,
+    now: int,
+    to: tuple[str, int],
+) -> bool:
+    """Rule 2: whether another attempt may go to an endpoint `to` (zone, cell).
+
+    `first` is the earliest attempt that may have run, as (sent at, zone, cell), or None.
+    """
+    if first is None or effect is Effect.IDEMPOTENT:
+        return True
+    if effect is Effect.AT_MOST_ONCE or now - first[0] > window_us:
+        return False
+    if group is Group.ALL:
+        return True
+    return first[1] == to[0] if group is Group.ZONE else first[2] == to[1]
+
+
+class TokenBuckets:
+    """Tenants' budgets in RU, refilled each window from what was served in the last."""
+
+    class Bucket:
+        __slots__ = ("heard", "quota", "refill", "share", "tokens")
+
+        def __init__(self, share: float, quota: float) -> None:
+            self.share = share
+            self.quota = quota  # requests a second at this copy
+            self.refill = quota * BASE_COST_RU * (1 + HEADROOM)  # RU a second
+            self.tokens = self.depth()
+            self.heard = -ACTIVE_US
+
+        def depth(self) -> float:
+            """The most it holds, in RU."""
+            return self.refill * BURST_US / 1e6 + BURST_RU
+
+    def __init__(self, settings: Settings, phase_us: int, now: int) -> None:
+        self.buckets = {
+            t.name: self.Bucket(t.share or 1.0, t.quota_per_s / settings.balancers or FLOOR_PER_S)
+            for t in settings.tenants
+        }
+        self.next_refill = now + phase_us
+        self.served = 0.0  # RU in this window
+        self.served_per_s = 0.0  # smoothed
+        self.mean_cost = BASE_COST_RU
+
+    def find(self, tenant: str) -> Bucket:
+        bucket = self.buckets.get(tenant)
+        if bucket is None:
+            bucket = self.buckets[tenant] = self.Bucket(1.0, FLOOR_PER_S)
+        return bucket
+
+    def bill(self, bucket: Bucket, price: float, paid: float, latency_us: int, ok: bool) -> None:
+        """Charge the latency of an attempt that has ended; `paid` of its price was charged on arrival."""
+        extra = LATENCY_RU_PER_US * latency_us
+        if paid:
+            bucket.tokens -= extra
+        if ok:
+            self.mean_cost += COST_WEIGHT * (price + extra - self.mean_cost)
+            # Guards against a tenant far over its share whose calls, served in slack, raise its own budget.
+            if paid:
+                self.served += price + extra
+
+    def refill(self, now: int) -> None:
+        windows = 1 + (now - self.next_refill) // REFILL_WINDOW_US
+        self.next_refill += windows * REFILL_WINDOW_US
+        for _ in range(min(windows, 20)):
+            rate = self.served * 1e6 / REFILL_WINDOW_US
+            self.served_per_s += SERVED_SMOOTHING * (rate - self.served_per_s)
+            self.served = 0.0
+        active = sum(b.share for b in self.buckets.values() if now - b.heard < ACTIVE_US)
+        for b in self.buckets.values():
+            split = self.served_per_s * b.share / active if active else 0.0
+            # A quota is stated in requests: at its present cost, or calls that slow down would shrink it.
+            b.refill = max(b.quota * self.mean_cost, split) * (1 + HEADROOM)
+            b.tokens = min(b.depth(), b.tokens + b.refill * windows * REFILL_WINDOW_US / 1e6)
+
+
+class Histogram:
+    """Counts of latencies, taken as shares of their class's aim, in log-spaced buckets."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self) -> None:
+        self.counts = [0] * HISTOGRAM_SIZE
+        self.total = 0
+
+    def add(self, share: float) -> None:
+        place = int(math.log2(share / HISTOGRAM_FROM) * BUCKETS_PER_DOUBLING) if share > HISTOGRAM_FROM else 0
+        self.counts[min(place, HISTOGRAM_SIZE - 1)] += 1
+        self.total += 1
+
+    def above(self, part: float, older: Histogram | None = None) -> float:
+        """The latency that this part of the samples, those of `older` too, lies above."""
+        left = part * (self.total + (older.total if older else 0))
+        place = HISTOGRAM_SIZE - 1
+        while place > 0:
+            left -= self.counts[place] + (older.counts[place] if older else 0)
+            if left < 0:
+                break
+            place -= 1
+        return float(HISTOGRAM_FROM * 2 ** ((place + 0.5) / BUCKETS_PER_DOUBLING))
+
+
+class LatencyRatio:
+    """Long p95 over short p95 of call latencies."""
+
+    def __init__(self, now: int) -> None:
+        self.short = (Histogram(), Histogram())  # newer and older half
+        self.long = (Histogram(), Histogram())
+        self.short_turn = now + SHORT_WINDOW_US
+        self.long_turn = now + LONG_WINDOW_US
+        self.next_read = now + RATIO_EVERY_US
+        self.value = 1.0
+
+    def record(self, now: int, share: float) -> None:
+        self.short[0].add(share)
+        self.long[0].add(share)
+        if now >= self.next_read:
+            self.read(now)
+
+    def read(self, now: int) -> None:
+        self.next_read = now + RATIO_EVERY_US
+        if now >= self.short_turn:
+            stale = now >= self.short_turn + SHORT_WINDOW_US
+            self.short_turn = now + SHORT_WINDOW_US
+            self.short = (Histogram(), Histogram() if stale else self.short[0])
+        if now >= self.long_turn:
+            self.long_turn = now + LONG_WINDOW_US
+            self.long = (Histogram(), self.long[0])
+        if self.short[0].total + self.short[1].total < MIN_SAMPLES:
+            self.value = 1.0
+            return
+        # Guards against a day that is slow from its first second: what has always been slow looks normal.
+        normal = min(self.long[0].above(0.05, self.long[1]), NORMAL_SHARE)
+        self.value = normal / self.short[0].above(0.05, self.short[1])
+
+    def stress(self) -> float:
+        """0 while the ratio sits near 1, up to 1."""
+        return max(0.0, 1.0 - self.value / STRESS_RATIO)
+
+
+class ConcurrencyLimit:
+    """The in-flight cap of one pool, learned from outcomes: latencies as shares of their class's aim.
+
+    It follows medians: single long calls, and the few that met a slow endpoint on their way, say nothing of
+    crowding, and a cap that falls for them starves the sound endpoints.
+    """
+
+    def __init__(self, layer: int) -> None:
+        self.cap = 0.0  # set when the first list comes
+        self.floor = MIN_CAP
+        self.in_flight = 0
+        self.dither = 0.0
+        self.next_dither = 0
+        self.median = 0.0
+        self.base = 0.0
+        self.most = TARGET_SHARE / (layer + 1)
+        self.normal = NORMAL_SHARE / (layer + 1)
+        self.round = Histogram()
+        self.bound = False  # whether the cap was in the way during this round
+        self.roots = CHANCE_ROOTS if layer else CHANCE_ROOTS_OUTSIDE
+        self.slack = 0.5  # 1 uncrowded, 0 with latencies at their target
+        self.changed = 0
+
+    def size(self, fair: float) -> None:
+        """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies."""
+        self.floor = max(MIN_CAP, FLOOR_CALLS * fair)
+        self.cap = max(self.cap or START_CALLS * fair, self.floor)
+
+    def room(self, scarcity: float) -> float:
+        """The calls that may be out at one moment, while the cap bounds their mean.
+
+        Danger: a quiet inner copy has a cap of a call or two, which chance alone passes all the time: it
+        would refuse work half done while its endpoints sit idle. As latencies near their target the room
+        closes to the cap, and the outermost tier has least: what is too much is to be refused there.
+        """
+        return self.cap + self.roots * self.slack * (1.0 - scarcity) * math.sqrt(self.cap)
+
+    def full(self, now: int, room: float, rng: random.Random) -> bool:
+        """Whether the room is taken; while crowded it counts exactly, parts of a call for part of the time.
+
+        Danger: caps rounded up to whole calls at hundreds of copies keep a small fleet crowded.
+        """
+        if now >= self.next_dither:
+            self.next_dither = now + DITHER_US
+            self.dither = rng.random()
+        return self.in_flight >= (room if self.slack else int(room + self.dither))
+
+    def learn(self, now: int, sent: int, share: float) -> None:
+        # Guards against cutting again and again for calls that were sent before the last cut.
+        if sent < self.changed:
+            return
+        self.round.add(share)
+        self.bound = self.bound or self.in_flight >= BINDING * self.cap
+        if self.round.total < ROUND_SAMPLES + ROUND_PER_CALL * self.cap:
+            return
+        median = self.round.above(0.5)
+        self.median += (BASE_WEIGHT if self.median else 1.0) * (median - self.median)
+        # Guards against a start amid overload: what was always slow is not taken for the uncrowded state.
+        self.base = min(self.base * BASE_DRIFT if self.base else self.normal, self.median)
+        target = max(TARGET_LEAST_RISE * self.base, min(TARGET_RISE * self.base, self.most))
+        self.slack = min(1.0, max(0.0, TARGET_RISE * (1.0 - median / target)))
+        if median > target:
+            self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
+            self.changed = now
+        elif self.bound:
+            self.cap += max(GROW_CALLS, GROW_SHARE * self.cap)
+        self.round, self.bound = Histogram(), False
+
+
+class RetryBudget:
+    """Retries as a share of first attempts, so that trouble does not multiply the load."""
+
+    def __init__(self) -> None:
+        self.tokens = RETRY_BURST
+
+    def earn(self) -> None:
+        self.tokens = min(RETRY_BURST, self.tokens + RETRY_SHARE)
+
+    def spend(self) -> bool:
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class IdleConnections:
+    """Which connections have been idle too long to be trusted, learned from attempts that got no answer.
+
+    Danger: something on the way drops idle connections unseen. What is sent on one waits out its whole try,
+    at any endpoint and for any class, so no endpoint looks ill; quiet copies are hit most.
+    """
+
+    def __init__(self, closed_us: int) -> None:
+        self.closed_us = closed_us or 1 << 62
+        # Silent shares, and attempts, by idle time; the last place is for fresh connections.
+        self.shares = [0.0] * (IDLE_STEPS + 1)
+        self.counts = [0] * (IDLE_STEPS + 1)
+
+    def step(self, idle_us: int) -> int:
+        if idle_us >= self.closed_us:
+            return IDLE_STEPS
+        return min((idle_us // IDLE_FROM_US).bit_length(), IDLE_STEPS - 1)
+
+    def learn(self, step: int, silent: bool) -> None:
+        self.counts[step] += 1
+        weight = max(SILENT_WEIGHT, 1 / self.counts[step])
+        self.shares[step] += weight * (silent - self.shares[step])
+
+    def dead(self, step: int, chance: float) -> bool:
+        """Whether connections idle for so long had better be closed first; `chance` is drawn from 0..1."""
+        if step == IDLE_STEPS or self.counts[step] < IDLE_SAMPLES or chance < IDLE_TRIES:
+            return False
+        sound = [s for s, n in zip(self.shares, self.counts, strict=True) if n >= IDLE_SAMPLES]
+        if self.counts[IDLE_STEPS] < IDLE_SAMPLES:
+            sound.append(0.0 if chance < 0.5 else 1.0)  # half of them show how fresh ones fare
+        return self.shares[step] > min(sound) + SILENT_EXCESS
+
+
+class EndpointState:
+    """What this instance knows of one endpoint: its listing, own calls, health and slow start."""
+
+    __slots__ = (
+        "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
+        "in_flight", "kind", "launched", "order", "ready", "slow", "used", "weight", "zone",
+    )  # fmt: skip
+
+    def __init__(self, entry: Endpoint) -> None:
+        self.id = entry.id
+        self.order = zlib.crc32(entry.id.encode())  # one order for all copies, which the ids tell nothing of
+        self.in_flight = 0
+        self.failing = 0.0
+        self.slow = 0.0  # mean latency over that of the peers; 0 unknown
+        self.failed_at = 0
+        self.credit = -1.0  # sends that it may have while cold; below 0: not begun
+        self.credit_at = 0
+        self.used = 0  # when a connection to it was last in use; 0: never
+        self.ejected_until = 0
+        self.ejections = 0
+        self.launched = 0
+        self.take(entry)
+
+    def take(self, entry: Endpoint) -> None:
+        self.zone, self.kind, self.cell, self.weight = entry.zone, entry.kind, entry.cell, entry.weight
+        self.ready = entry.readiness is Readiness.READY
+        if entry.launched_us != self.launched:  # a new process under a known id: what we knew is void
+            self.launched = entry.launched_us
+            self.credit = -1.0
+            self.failing = self.slow = 0.0
+            self.ejected_until = self.ejections = 0
+
+
+class Subset:
+    """The random subset of one pool: an even block of a random order that all copies share."""
+
+    def __init__(self) -> None:
+        self.members: list[EndpointState] = []
+
+    def fill(self, endpoints: list[EndpointState], rank: int, balancers: int, size: int) -> None:
+        """Blocks that start at even distances load all endpoints alike, where free picks would leave gaps."""
+        endpoints.sort(key=lambda e: (e.order, e.id))
+        n = len(endpoints)
+        if size >= n:
+            self.members = endpoints
+            return
+        start = rank % balancers * n // balancers
+        self.members = [endpoints[(start + i) % n] for i in range(size)]
+
+
+class TryTime:
+    """The time left that most calls of one class come with: how long a try lasts. Others tell their age."""
+
+    def __init__(self) -> None:
+        self.usual = 0
+        self.votes = 0
+
+    def age(self, left: int, deadline: int) -> int:
+        """How long ago the client first asked, as far as the time left tells."""
+        if abs(left - self.usual) * 100 <= deadline:
+            self.votes = min(self.votes + 1, TRY_VOTES)
+            return 0
+        self.votes -= 1
+        if self.votes < 0:
+            self.usual, self.votes = left, 0
+            return 0
+        return max(0, deadline - left)
+
+
+class Call:
+    """One request that this instance owes an answer for, or has attempts out for."""
+
+    __slots__ = (
+        "answered", "arrived", "attempts", "bucket", "due", "first_run", "grade", "held_until", "id", "level",
+        "outstanding", "paid", "price",
+    )  # fmt: skip
+
+    def __init__(
+        self, call: str, grade: RequestClass, now: int, due: int, bucket: TokenBuckets.Bucket
+    ) -> None:
+        self.id = call
+        self.grade = grade
+        self.arrived = now
+        self.due = due  # until when an answer is worth something: the end of the try, or the aim before it
+        self.attempts: list[tuple[EndpointState, int, Pool, int]] = []
+        self.outstanding: set[int] = set()
+        self.first_run: tuple[int, str, int] | None = None  # earliest attempt known to may have run
+        self.answered = False
+        self.held_until = 0  # 0: not held
+        self.level = 0
+        self.price = 0.0
+        self.paid = 0.0
+        self.bucket = bucket
+
+
+class HoldQueue:
+    """Calls past the cap, best worth first; long sojourn there refuses arrivals."""
+
+    def __init__(self, levels: int) -> None:
+        self.levels: list[deque[Call]] = [deque() for _ in range(levels)]
+        self.ends: list[tuple[int, int, Call]] = []
+        self.serial = 0
+        self.count = 0
+        self.long_since = -1
+
+    def push(self, call: Call, until: int) -> None:
+        call.held_until = until
+        self.levels[call.level].append(call)
+        self.serial += 1
+        self.count += 1
+        heapq.heappush(self.ends, (until, self.serial, call))
+
+    def take(self, call: Call) -> None:
+        """The call leaves; its places in the queues are cleared when they come up."""
+        call.held_until = 0
+        self.count -= 1
+        if not self.count:
+            # An empty queue refuses nobody: arrivals refused for its past leave nobody to find it empty.
+            self.long_since = -1
+
+    def head(self, level: int) -> Call | None:
+        queue = self.levels[level]
+        while queue and not queue[0].held_until:
+            queue.popleft()
+        return queue[0] if queue else None
+
+    def overdue(self, now: int) -> Call | None:
+        ends = self.ends
+        while ends and not ends[0][2].held_until:
+            heapq.heappop(ends)
+        return ends[0][2] if ends and ends[0][0] <= now else None
+
+    def watch(self, now: int) -> None:
+        """Follow how long the sojourn has stood above its target."""
+        for level in range(len(self.levels)):
+            call = self.head(level)
+            if call is not None and now - call.arrived > SOJOURN_SHARE * call.grade.aim_us:
+                if self.long_since < 0:
+                    self.long_since = now
+                return
+        self.long_since = -1
+
+    def refusing(self, now: int) -> bool:
+        return self.long_since >= 0 and now - self.long_since >= SOJOURN_INTERVAL_US
+
+
+class Pool:
+    """The endpoints of this zone, or of the others: a subset and the cap on calls into it."""
+
+    def __init__(self, layer: int) -> None:
+        self.subset = Subset()
+        self.limit = ConcurrencyLimit(layer)
+        self.sent = 0  # in this refill window
+        self.rate = 0.0  # calls sent a second; falls slowly, so that slow start does not feed on itself
+
+    def turn(self) -> None:
+        rate = self.sent * 1e6 / REFILL_WINDOW_US
+        self.rate += (RATE_RISE if rate > self.rate else RATE_FALL) * (rate - self.rate)
+        self.sent = 0
+
+
+class Placement:
+    """The endpoints that the classes of one constraint may use: a pool in this zone and one in the others.
+
+    Rule 5: subsets are drawn from the allowed endpoints alone, and every send draws from such a subset.
+    Filtering a subset drawn from all could leave none, or the same few to all copies.
+    """
+
+    def __init__(self, grade: RequestClass, layer: int) -> None:
+        self.zones = grade.stays_in
+        self.kinds = grade.served_on
+        self.local, self.remote = Pool(layer), Pool(layer)
+        self.pools = (self.local, self.remote)
+        self.size = 0  # endpoints that are open to it and ready
+        self.sent = 0.0  # work sent lately, of all its classes
+        self.spare: dict[str, float] = {}  # the part of an even share left by narrower classes, where below 1
+
+    def allows(self, e: EndpointState) -> bool:
+        return (self.zones is None or e.zone in self.zones) and (self.kinds is None or e.kind in self.kinds)
+
+
+class Balancer:
+    """The decisions of one sidecar instance."""
+
+    def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
+        self.settings = settings
+        self.actions = actions
+        self.random = random.Random(seed)
+        self.classes = {c.name: c for c in settings.classes}
+        best = max(c.credit for c in settings.classes) or 1.0
+        worths = {
+            (c.name, over): c.credit / best * (settings.over_share_worth if over else 1.0)
+            for c in settings.classes
+            for over in (False, True)
+        }
+        ranked = sorted(worths, key=lambda k: (-worths[k], k))
+        self.level = {k: i for i, k in enumerate(ranked)}
+        self.worth = [worths[k] for k in ranked]
+        goal = settings.goal
+        even = goal.by_class / (goal.by_class + goal.by_worth or 1.0)
+        # What a served call is worth to the goal, where the cheapest class may count as much as the best.
+        self.gain = [
+            (1 - even) * worths[k] + even * (settings.over_share_worth if k[1] else 1.0) for k in ranked
+        ]
+        self.copying = settings.limits.second_copies and settings.layer == 0
+        self.started = False
+
+    # --- life ---
+
+    def start(self, now_us: int) -> None:
+        s = self.settings
+        self.started = True
+        self.endpoints: dict[str, EndpointState] = {}
+        self.calls: dict[str, Call] = {}
+        self.buckets = TokenBuckets(s, self.random.randrange(REFILL_WINDOW_US), now_us)
+        self.ratio = LatencyRatio(now_us)
+        self.queue = HoldQueue(len(self.worth))
+        self.retries = RetryBudget()
+        self.idle = IdleConnections(s.limits.conn_idle_us)
+        self.tries = {c.name: TryTime() for c in s.classes}
+        placements: dict[tuple[frozenset[str] | None, frozenset[str] | None], Placement] = {}
+        self.placement = {
+            c.name: placements.setdefault((c.stays_in, c.served_on), Placement(c, s.layer)) for c in s.classes
+        }
+        self.placements = list(placements.values())
+        self.ejected: list[EndpointState] = []
+        self.ready = 0
+        self.fleet_failing = 0.0
+        self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
+        self.fleet_latency = 0.0
+        self.sweep_at = -1
+        self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
+        self.ask_wait = ASK_BACKOFF_US
+        self.asking = False
+        if s.discovery is Discovery.ASK:
+            self.actions.tail(True)
+
+    def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
+        if form is ListForm.FAILED:
+            if self.settings.discovery is Discovery.ASK and not self.asking:
+                # Guards against all copies asking again in step after discovery has turned them away.
+                self.asking = True
+                self.actions.timer(int(self.ask_wait * (0.5 + self.random.random())), ASK)
+                self.ask_wait = min(2 * self.ask_wait, ASK_BACKOFF_MAX_US)
+            return
+        if form is not ListForm.CACHED:
+            self.ask_wait = ASK_BACKOFF_US
+        if form is not ListForm.DELTA:
+            listed = {e.id for e in entries}
+            for known in self.endpoints.values():
+                if known.id not in listed:
+                    known.ready = False
+        for entry in entries:
+            state = self.endpoints.get(entry.id)
+            if state is None:
+                self.endpoints[entry.id] = EndpointState(entry)
+            else:
+                state.take(entry)
+        self._fill_pools()
+        if self.queue.count:
+            self._dispatch(now_us)
+
+    def _fill_pools(self) -> None:
+        s = self.settings
+        ready = [e for e in self.endpoints.values() if e.ready]
+        self.ready = len(ready)
+        for placement in self.placements:
+            allowed = [e for e in ready if placement.allows(e)]
+            near = [e for e in allowed if e.zone == s.zone]
+            far = [e for e in allowed if e.zone != s.zone]
+            placement.size = len(allowed)
+            # Copies are spread over the zones about as endpoints are; other zones have their own to carry.
+            fair = len(allowed) / s.balancers
+            for pool, members, part in (
+                (placement.local, near, 1.0),
+                (placement.remote, far, REMOTE_PART if near else 1.0),
+            ):
+                pool.limit.size(fair * part)
+                size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.cap))
+                pool.subset.fill(members, s.rank, s.balancers, size)
+
+    def _share_out(self) -> None:
+        """Note what was sent, and leave to a bound class the endpoints that it fills.
+
+        Danger: classes free to go anywhere crowd the few endpoints of a bound class while others have room.
+        """
+        for placement in self.placements:
+            for pool in placement.pools:
+                pool.turn()
+        if len(self.placements) < 2:
+            return
+        level = sum(p.sent for p in self.placements) / max(1, *(p.size for p in self.placements))
+        for wide in self.placements:
+            wide.spare = {}
+            for narrow in self.placements:
+                if level and 0 < narrow.size < wide.size:
+                    left = max(LEAST_SPARE, 1.0 - narrow.sent / narrow.size / level)
+                    wide.spare.update((e.id, left) for e in self.endpoints.values() if narrow.allows(e))
+        for p in self.placements:
+            p.sent *= SENT_DECAY
+
+    def wake(self, now_us: int, mark: str) -> None:
+        if mark == ASK:
+            self.asking = False
+            self.actions.tail(True)
+        elif mark == SWEEP and now_us >= self.sweep_at >= 0:
+            self.sweep_at = -1
+            self._sweep(now_us)
+
+    # --- requests ---
+
+    def order(
+        self, now_us: int, call: str, grade: str, tenant: str | None, expires_in_us: int, hint_us: int | None
+    ) -> None:
+        if not self.started:
+            raise RuntimeError("order before start")
+        if call in self.calls:
+            raise RuntimeError(f"request {call} is here already")
+        buckets = self.buckets
+        if now_us >= buckets.next_refill:
+            buckets.refill(now_us)
+            self._share_out()
+        bucket = buckets.find(tenant or "")
+        new = self.calls[call] = Call(call, self.classes[grade], now_us, now_us + expires_in_us, bucket)
+        bucket.heard = now_us
+        stress = self.ratio.stress()
+        worth = self.worth[self.level[grade, False]]
+        price = BASE_COST_RU + HINT_RU_PER_US * (hint_us or 0)
+        new.price = price
+        inflated = price * (1 + PENALTY * stress * (1 - worth))
+        over = bucket.tokens < inflated
+        new.level = self.level[grade, over]
+        age = self.tries[grade].age(expires_in_us, new.grade.deadline_us) if not self.settings.layer else 0
+        if expires_in_us <= 0:
+            self._refuse(new)
+            return
+        if not new.grade.late_share:
+            # Guards against repeats that can no longer be worth anything.
+            usual = self.placement[grade].local.limit.median * HOPELESS
+            new.due = min(new.due, now_us + new.grade.aim_us - age)
+            if new.due - now_us <= new.grade.aim_us * usual:
+                self._refuse(new)
+                return
+        low = self.worth[new.level] < LOW_WORTH
+        outer = self.settings.layer == 0
+        if outer and over and (stress > 0 or self.scarcity > SCARCE):
+            self._refuse(new)
+            return
+        if outer and self.queue.refusing(now_us):
+            self._refuse(new)
+            return
+        if not over:
+            bucket.tokens -= inflated
+            new.paid = inflated
+        at_once = (low or not self.queue.count) and self._try_send(now_us, new)
+        if not over:
+            self.scarcity += SCARCITY_WEIGHT * ((not at_once) - self.scarcity)
+        if at_once:
+            return
+        if outer and low and (stress > 0 or self.queue.count):
+            self._refuse(new)
+            return
+        self._hold(now_us, new)
+
+    def _hold(self, now: int, call: Call) -> None:
+        share = HOLD_SHARE_INSIDE if self.settings.layer else HOLD_SHARE
+        until = min(now + int(share * call.grade.aim_us), call.due - ANSWER_MARGIN_US)
+        if until <= now:
+            self._refuse(call)
+            return
+        self.queue.push(call, until)
+        self._sweep_later(now)
+
+    def _sweep_later(self, now: int) -> None:
+        if self.sweep_at < 0:
+            self.sweep_at = now + SWEEP_US
+            self.actions.timer(SWEEP_US, SWEEP)
+
+    def _sweep(self, now: int) -> None:
+        queue = self.queue
+        self._dispatch(now)
+        while (call := queue.overdue(now)) is not None:
+            queue.take(call)
+            self._refuse(call)
+        queue.watch(now)
+        while self.copies and self.copies[0][0] <= now:
+            self._copy(now, self.copies.popleft()[1])
+        while self.copies and self.copies[0][1].answered:
+            self.copies.popleft()
+        if queue.count or self.copies:
+            self._sweep_later(now)
+
+    def _copy(self, now: int, call: Call) -> None:
+        """Send a second copy: answers an endpoint that pauses or hangs under a call that is safe to repeat.
+
+        Acts only while nothing is scarce: no stress, nobody held, room under the cap, retries left.
+        """
+        if call.answered or len(call.attempts) != 1 or not call.outstanding:
+            return
+        if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0:
+            return
+        if self._try_send(now, call):
+            self.retries.spend()
+
+    def _dispatch(self, now: int) -> None:
+        """Send held calls while there is room, best worth first."""
+        queue = self.queue
+        queue.watch(now)
+        for level in range(len(queue.levels)):
+            while (call := queue.head(level)) is not None:
+                if not self._try_send(now, call):
+                    break
+                queue.take(call)
+
+    def _refuse(self, call: Call) -> None:
+        """Final answer without a result: `shed` where that is legal."""
+        if may_refuse(
+            call.grade.effect, call.grade.group, call.first_run is not None or bool(call.outstanding)
+        ):
+            wait = 0
+            limits = self.settings.limits
+            if limits.retry_after:
+                # Drawn anew for each: clients told the same wait would come back together.
+                wait = int(limits.max_retry_after_us * RETRY_AFTER_SHARE * (1 + self.random.random()))
+            self.actions.shed(call.id, wait)
+        else:
+            self.actions.surrender(call.id)
+        self._answered(call)
+
+    def _answered(self, call: Call) -> None:
+        call.answered = True
+        if not call.outstanding:
+            del self.calls[call.id]
+
+    def _call_off(self, call: Call) -> None:
+        """Cancel what nobody waits for any more: some endpoints stop such work."""
+        if self.settings.limits.may_cancel:
+            for attempt in sorted(call.outstanding):
+                self.actions.cancel(call.id, attempt)
+
+    def _try_send(self, now: int, call: Call) -> bool:
+        worth = self.worth[call.level]
+        barren = True  # whether this zone has no endpoint that could take the call, however long it waits
+        placement = self.placement[call.grade.name]
+        for pool in placement.pools:
+            if not pool.subset.members:
+                continue
+            limit = pool.limit
+            share = 1.0 if worth >= LOW_WORTH else LOW_TIER_SHARE
+            if limit.full(now, share * limit.room(self.scarcity), self.random):
+                barren = False
+                continue
+            if pool is placement.remote and not barren and not self._worth_crossing(now, call):
+                return False
+            endpoint = self._pick(now, pool, call)
+            if endpoint is not None:
+                self._send(now, call, endpoint, pool)
+                return True
+        return False
+
+    def _worth_crossing(self, now: int, call: Call) -> bool:
+        """Spill to another zone what this one cannot carry; the dearer the crossing, the longer it waits."""
+        price = self.settings.prices.cross_zone
+        gain = self.gain[call.level] * SPILL_GAIN
+        if gain <= price:
+            return False
+        return now - call.arrived >= price / gain * HOLD_SHARE * call.grade.aim_us
+
+    def _pick(self, now: int, pool: Pool, call: Call) -> EndpointState | None:
+        """The less busy, by own calls in flight, of two random members of the subset."""
+        members = pool.subset.members
+        n = len(members)
+        best: EndpointState | None = None
+        best_load = 0.0
+        tried = call.attempts
+        spare = self.placement[call.grade.name].spare
+        drawn = 0
+        for _ in range(2 * REDRAWS):
+            e = members[int(self.random.random() * n)]
+            if e is best or (tried and any(a[0] is e for a in tried)):
+                continue
+            warmth = self._warmth(now, e)
+            part = self._part(now, e, warmth) * spare.get(e.id, 1.0)
+            if part < 1.0 and self.random.random() >= part:
+                continue
+            if warmth < 1.0 and not self._affords(now, e, pool, warmth):
+                continue
+            if call.first_run is not None and not may_resend(
+                call.grade.effect,
+                call.grade.group,
+                call.grade.dedup_window_us,
+                call.first_run,
+                now,
+                (e.zone, e.cell),
+            ):
+                continue
+            load = (e.in_flight + 1) / (e.weight * part)
+            if e.slow:
+                load *= e.slow
+            if best is None or load < best_load:
+                best, best_load = e, load
+            drawn += 1
+            if drawn == 2:
+                break
+        return best
+
+    def _part(self, now: int, e: EndpointState, warmth: float) -> float:
+        """The part of a warm peer's calls that this endpoint may have: slow start, ejection and return.
+
+        Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
+        so each copy sends it that part of what its warm endpoints get, and so do all copies together.
+        """
+        part = warmth
+        if e.ejected_until:
+            if now < e.ejected_until:
+                return 0.0
+            since = now - e.ejected_until
+            if since < RETURN_US:
+                part *= RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
+        return part
+
+    def _warmth(self, now: int, e: EndpointState) -> float:
+        """The least part of its capacity that the endpoint has, by its stated start."""
+        rules = self.settings.rules
+        age = now - e.launched
+        if not e.launched or age >= rules.cold_us:
+            return 1.0
+        return rules.cold_from + (1 - rules.cold_from) * max(age, 0) / rules.cold_us
+
+    def _affords(self, now: int, e: EndpointState, pool: Pool, warmth: float) -> bool:
+        """Whether a cold endpoint has credit left: it earns a part of what those of its pool usually got.
+
+        Danger: where most of a subset is cold there is little else to draw, so that redraws and held calls
+        would send it all the same, from every copy; a burst right after the start may break rule 4.
+        """
+        fair = START_CALLS / self.settings.balancers  # a second, while no rate is known
+        usual = max(pool.rate / len(pool.subset.members), fair)
+        if e.credit < 0:
+            e.credit = self.random.random()  # all copies hear of the start at once
+        else:
+            earned = usual * min(1.0, COLD_USE * self.settings.rules.overload_factor * warmth)
+            e.credit = min(1.0, e.credit + earned * (now - e.credit_at) / 1e6)
+        e.credit_at = now
+        return e.credit >= 1.0
+
+    def _send(self, now: int, call: Call, e: EndpointState, pool: Pool) -> None:
+        call.outstanding.add(len(call.attempts))
+        if not call.attempts:
+            self.retries.earn()
+            self.placement[call.grade.name].sent += call.price
+            usual = pool.limit.median * call.grade.aim_us
+            # Only the outermost layer copies: copies inside multiply, and only it sees all stress.
+            if usual and self.copying and call.grade.effect is Effect.IDEMPOTENT:
+                self.copies.append((now + int(COPY_RISE * usual), call))
+                self._sweep_later(now)
+        step = -1  # unknown: others are out, and which connection comes next is not told
+        if not e.in_flight:
+            step = self.idle.step(now - e.used) if e.used else IDLE_STEPS
+            if self.idle.dead(step, self.random.random()):
+                self.actions.disconnect(e.id)
+                step = IDLE_STEPS
+        call.attempts.append((e, now, pool, step))
+        e.used = now
+        e.credit -= 1.0 if e.credit >= 1.0 else 0.0
+        pool.sent += 1
+        e.in_flight += 1
+        pool.limit.in_flight += 1
+        self.actions.hand_off(call.id, e.id, 0)
+
+    # --- outcomes ---
+
+    def streaming(self, now_us: int, call: str, attempt: int) -> None:
+        found = self.calls.get(call)
+        if found is not None:
+            found.answered = True
+
+    def reply(
+        self,
+        now_us: int,
+        call: str,
+        attempt: int,
+        endpoint: str,
+        spent_us: int,
+        closed: bool,
+        outcome: Outcome,
+    ) -> None:
+        found = self.calls.get(call)
+        if found is None or attempt not in found.outstanding:
+            return
+        found.outstanding.discard(attempt)
+        e, sent, pool, step = found.attempts[attempt]
+        e.in_flight -= 1
+        e.used = now_us
+        pool.limit.in_flight -= 1
+        if step >= 0 and outcome not in NEVER_RAN:
+            silent = outcome in UNANSWERED
+            long = spent_us > SILENT_RISE * pool.limit.median * found.grade.aim_us > 0
+            if not silent or long or outcome is Outcome.RESET:
+                self.idle.learn(step, silent)
+        self._judge(now_us, found, e, pool, sent, spent_us, outcome)
+        if outcome not in NEVER_RAN and (found.first_run is None or sent < found.first_run[0]):
+            found.first_run = (sent, e.zone, e.cell)
+        if found.answered or closed:
+            self._answered(found)
+            self._call_off(found)
+        elif not found.outstanding:
+            self._again(now_us, found, outcome)
+        if self.queue.count:
+            self._dispatch(now_us)
+
+    def _judge(
+        self, now: int, call: Call, e: EndpointState, pool: Pool, sent: int, spent: int, outcome: Outcome
+    ) -> None:
+        """Learn from an outcome: the endpoint's health, the ratio, the cap and the tenant's bill."""
+        if outcome is Outcome.MOOT or outcome is Outcome.CANCELLED:
+            return
+        ok = outcome is Outcome.OK
+        share = spent / call.grade.aim_us
+        if outcome is not Outcome.FULL:  # a full endpoint is busy, not ill
+            failed = 0.0 if ok else 1.0
+            self.fleet_failing += FLEET_WEIGHT * (failed - self.fleet_failing)
+            # Guards against one pause that fails all calls in flight: together they count as one failure.
+            if ok or sent >= e.failed_at:
+                e.failing += HEALTH_WEIGHT * (failed - e.failing)
+            if failed:
+                e.failed_at = now
+                self._consider_ejecting(now, e)
+        if ok or outcome is Outcome.TIMEOUT:
+            if not self.fleet_latency:
+                self.fleet_latency = share
+            self.fleet_latency += FLEET_WEIGHT * (share - self.fleet_latency)
+            relative = min(max(share / self.fleet_latency, 1 / SLOW_RANGE), SLOW_RANGE)
+            e.slow = e.slow + SLOW_WEIGHT * (relative - e.slow) if e.slow else 0.5 + 0.5 * relative
+        outlier = e.slow > OUTLIER and share > self.fleet_latency
+        if not outlier:  # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
+            if ok or outcome is Outcome.TIMEOUT:
+                self.ratio.record(now, share)
+            if ok or outcome is Outcome.TIMEOUT or outcome is Outcome.FULL:
+                pool.limit.learn(now, sent, FULL_COUNTS if outcome is Outcome.FULL else share)
+        self.buckets.bill(call.bucket, call.price, call.paid, spent, ok)
+
+    def _consider_ejecting(self, now: int, e: EndpointState) -> None:
+        # Endpoints that are down for sure raise the share of all: a multiple of that could never be reached.
+        if now < e.ejected_until or e.failing < EJECT_FAILING + EJECT_VERSUS_PEERS * self.fleet_failing:
+            return
+        self.ejected = [o for o in self.ejected if now < o.ejected_until]
+        if len(self.ejected) + 1 > MAX_EJECTED * self.ready:
+            return
+        self.ejected.append(e)
+        e.ejections += 1
+        wait = min(EJECT_US * 2 ** (e.ejections - 1), EJECT_MAX_US)
+        e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
+        e.failing = 0.0
+        self.actions.write_log(f"endpoint {e.id} ejected for {(e.ejected_until - now) / 1e6:.1f} s: it fails")
+
+    def _again(self, now: int, call: Call, outcome: Outcome) -> None:
+        """All attempts ended without an answer: send another where that is legal and wise, or give up."""
+        s = self.settings
+        tries = min(MAX_TRIES if s.layer == 0 else MAX_TRIES_INSIDE, s.limits.max_attempts)
+        legal = call.first_run is None or call.grade.effect is not Effect.AT_MOST_ONCE
+        legal = legal and len(call.attempts) < tries and now < call.due - ANSWER_MARGIN_US
+        # What was turned away unseen made no work: the budget is for retries of what may have.
+        if legal and (outcome in NEVER_RAN or self.retries.spend()):
+            for pool in self.placement[call.grade.name].pools:
+                if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
+                    self._send(now, call, endpoint, pool)
+                    return
+        self._refuse(call)
+
+    def expired(self, now_us: int, call: str) -> None:
+        found = self.calls.get(call)
+        if found is None:
+            return
+        if found.held_until:
+            self.queue.take(found)
+        self._answered(found)
+        self._call_off(found)
--- /dev/null
+++ b/eiderhub/wirehost.py
@@ -0,0 +1,467 @@
+"""The wire adapter: turns the lines of the simulator's wire into events and actions into lines.
+
+It parses, dispatches and flushes once a batch; it takes no decisions.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import re
+import sys
+from collections.abc import Callable, Sequence
+from typing import Any, TextIO
+
+from eiderhub.balancer import Balancer
+from eiderhub.interface import (
+    Discovery,
+    Effect,
+    Endpoint,
+    Goal,
+    Group,
+    Limits,
+    ListForm,
+    Outcome,
+    Prices,
+    Readiness,
+    RequestClass,
+    Rules,
+    Settings,
+    Tenant,
+)
+
+PAGES = 16  # manifests are numbered 0..15
+HINT_VALID = 1  # bit of an order's Options: the cost hint counts
+BY_WORTH = ("Whole", "WorstWindow", "WorstTenant", "Availability")  # parts of `Goal` that add up worth
+BY_CLASS = ("WorstClass", "Tail")  # and those that look at each class alone
+OUTCOMES = {str(int(o)): o for o in Outcome}
+FORMS = {f.value: f for f in ListForm}
+STATES = {r.value: r for r in Readiness}
+BOOLS = {"0": False, "1": True}
+INTEGER = re.compile(r"-?[0-9]+\Z")
+
+
+class WireError(Exception):
+    """Malformed input."""
+
+
+def _get(table: Any, key: str, kind: type | tuple[type, ...], where: str, default: Any = None) -> Any:
+    """A checked value of a settings table; without a default it is required."""
+    if not isinstance(table, dict):
+        raise ValueError(f"{where.rstrip('.')}: must be an object")
+    value = table.get(key)
+    if value is None:
+        if default is None:
+            raise ValueError(f"{where}{key}: missing")
+        return default
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise ValueError(f"{where}{key}: impossible value {value!r}")
+    return value
+
+
+def _choice(enum: type[Any], table: Any, key: str, where: str, default: str | None = None) -> Any:
+    value = _get(table, key, str, where, default)
+    try:
+        return enum(value)
+    except ValueError:
+        raise ValueError(f"{where}{key}: impossible value {value!r}") from None
+
+
+def _names(table: Any, key: str, where: str) -> frozenset[str] | None:
+    """A list of names that may be absent; an empty one is a list all the same and allows nothing."""
+    if table.get(key) is None:
+        return None
+    value = _get(table, key, list, where)
+    if not all(isinstance(name, str) for name in value):
+        raise ValueError(f"{where}{key}: impossible value {value!r}")
+    return frozenset(value)
+
+
+def _fields(make: Callable[..., Any], where: str, renamed: dict[str, str], **values: Any) -> Any:
+    """Build a settings class; its complaints about a field are worded with the wire's key."""
+    try:
+        return make(**values)
+    except ValueError as error:
+        name, _, why = str(error).partition(": ")
+        raise ValueError(f"{where}{renamed.get(name, name)}: {why}") from None
+
+
+def settings_from(setup: Any) -> Settings:
+    """Read the settings of `power_on`; unknown keys are skipped, absent optional ones take defaults."""
+    number = (int, float)
+    if not isinstance(setup, dict):
+        raise ValueError("Setup: must be an object")
+    classes = []
+    for i, c in enumerate(_get(setup, "Categories", list, "")):
+        where = f"Categories[{i}]."
+        renamed = {
+            "name": "Name",
+            "aim_us": "AimUs",
+            "deadline_us": "DeadlineUs",
+            "credit": "Credit",
+            "late_share": "LateShare",
+            "dedup_window_us": "DedupWindowUs",
+        }
+        effect = _choice(Effect, c, "Effect", where)
+        keyed = effect is Effect.DEDUPLICATED
+        classes.append(
+            _fields(
+                RequestClass,
+                where,
+                renamed,
+                name=_get(c, "Name", str, where),
+                aim_us=_get(c, "AimUs", int, where),
+                deadline_us=_get(c, "DeadlineUs", int, where),
+                effect=effect,
+                group=_choice(Group, c, "Group", where, None if keyed else "all"),
+                dedup_window_us=_get(c, "DedupWindowUs", int, where, None if keyed else 0),
+                credit=float(_get(c, "Credit", number, where, 1.0)),
+                late_share=float(_get(c, "LateShare", number, where, 0.0)),
+                streaming=_get(c, "Streaming", bool, where, False),
+                stays_in=_names(c, "StaysIn", where),
+                served_on=_names(c, "ServedOn", where),
+            )
+        )
+    tenants = []
+    for i, t in enumerate(_get(setup, "Parties", list, "", [])):
+        where = f"Parties[{i}]."
+        renamed = {"name": "Name", "share": "Share", "quota_per_s": "QuotaPerS"}
+        tenants.append(
+            _fields(
+                Tenant,
+                where,
+                renamed,
+                name=_get(t, "Name", str, where),
+                share=float(_get(t, "Share", number, where, 0.0)),
+                quota_per_s=float(_get(t, "QuotaPerS", number, where, 0.0)),
+            )
+        )
+    allowed, charges = _get(setup, "Allowed", dict, "", {}), _get(setup, "Charges", dict, "", {})
+    figures = _get(setup, "Rules", dict, "", {})
+    limits = _fields(
+        Limits,
+        "Allowed.",
+        {
+            "max_attempts": "MaxAttempts",
+            "max_retry_after_us": "MaxRetryAfterUs",
+            "conn_idle_us": "ConnIdleUs",
+        },
+        max_attempts=_get(allowed, "MaxAttempts", int, "Allowed.", 3),
+        max_retry_after_us=_get(allowed, "MaxRetryAfterUs", int, "Allowed.", 1_000_000),
+        second_copies=_get(allowed, "SecondCopies", bool, "Allowed.", False),
+        may_cancel=_get(allowed, "MayCancel", bool, "Allowed.", False),
+        conn_idle_us=_get(allowed, "ConnIdleUs", int, "Allowed.", 0),
+        retry_after=_get(allowed, "RetryAfter", bool, "Allowed.", False),
+    )
+    prices = Prices(cross_zone=float(_get(charges, "CrossZone", number, "Charges.", 0.0)))
+    rules = _fields(
+        Rules,
+        "Rules.",
+        {
+            "cold_us": "ColdUs",
+            "cold_from": "ColdFrom",
+            "overload_factor": "OverloadFactor",
+        },
+        cold_us=_get(figures, "ColdUs", int, "Rules.", 10_000_000),
+        cold_from=float(_get(figures, "ColdFrom", number, "Rules.", 0.1)),
+        overload_factor=float(_get(figures, "OverloadFactor", number, "Rules.", 2.0)),
+    )
+    parts = _get(setup, "Goal", dict, "", {})
+    weight = {key: float(_get(parts, key, number, "Goal.", 0.0)) for key in BY_WORTH + BY_CLASS}
+    for key, value in weight.items():
+        if value < 0:
+            raise ValueError(f"Goal.{key}: must not be negative")
+    goal = Goal(
+        by_worth=sum(weight[key] for key in BY_WORTH) if parts else 1.0,
+        by_class=sum(weight[key] for key in BY_CLASS),
+    )
+    tiers = _get(setup, "Tiers", list, "", [""])
+    return _fields(  # type: ignore[no-any-return]
+        Settings,
+        "",
+        {
+            "classes": "Categories",
+            "tenants": "Parties",
+            "rank": "Rank",
+            "balancers": "Balancers",
+            "layer": "Layer",
+            "tiers": "Tiers",
+            "over_share_worth": "OverShareWorth",
+        },
+        classes=tuple(classes),
+        rank=_get(setup, "Rank", int, "", 0),
+        balancers=_get(setup, "Balancers", int, "", 1),
+        layer=_get(setup, "Layer", int, "", 0),
+        tiers=len(tiers),
+        zone=_get(setup, "MyZone", str, "", ""),
+        tenants=tuple(tenants),
+        over_share_worth=float(_get(setup, "OverShareWorth", number, "", 1.0)),
+        discovery=_choice(Discovery, setup, "Discovery", "", "push"),
+        limits=limits,
+        prices=prices,
+        goal=goal,
+        rules=rules,
+    )
+
+
+class Lines:
+    """The actions of one instance, written as lines into the reply of the batch."""
+
+    __slots__ = ("name", "out")
+
+    def __init__(self, name: str, out: list[str]) -> None:
+        self.name = name
+        self.out = out
+
+    def hand_off(self, call: str, endpoint: str, max_wait_us: int) -> None:
+        self.out.append(f"hand_off {self.name} {call} {endpoint} {max_wait_us}")
+
+    def cancel(self, call: str, attempt: int) -> None:
+        self.out.append(f"cancel {self.name} {call} {attempt}")
+
+    def shed(self, call: str, wait_us: int) -> None:
+        self.out.append(f"shed {self.name} {call} {wait_us}")
+
+    def surrender(self, call: str) -> None:
+        self.out.append(f"surrender {self.name} {call}")
+
+    def timer(self, delay_us: int, mark: str) -> None:
+        self.out.append(f"timer {self.name} {delay_us} {mark}")
+
+    def tail(self, on: bool) -> None:
+        self.out.append(f"tail {self.name} {int(on)}")
+
+    def disconnect(self, endpoint: str) -> None:
+        self.out.append(f"disconnect {self.name} {endpoint}")
+
+    def write_log(self, text: str) -> None:
+        self.out.append(f"write_log {self.name} {text}")
+
+
+def _int(text: str, what: str) -> int:
+    if not INTEGER.match(text):
+        raise WireError(f"{what} is no integer")
+    return int(text)
+
+
+def _code(table: dict[str, Any], text: str, what: str) -> Any:
+    value = table.get(text)
+    if value is None:
+        raise WireError(f"{what} is unknown")
+    return value
+
+
+class WireHost:
+    """All instances of one process."""
+
+    def __init__(self, source: TextIO, sink: TextIO) -> None:
+        self.source = source
+        self.sink = sink
+        self.now = 0
+        self.line_number = 0
+        self.out: list[str] = []
+        self.instances: dict[str, Balancer] = {}
+        self.pages: dict[int, Sequence[Endpoint]] = {}
+        self.handlers: dict[str, tuple[int, Callable[[list[str]], None]]] = {
+            "order": (9, self._order),
+            "reply": (9, self._reply),
+            "wake": (3, self._wake),
+            "expired": (3, self._expired),
+            "discovery": (5, self._discovery),
+            "manifest": (3, self._manifest),
+            "streaming": (6, self._streaming),
+            "sampled": (6, self._sampled),
+            "mail": (4, self._mail),
+            "stop": (2, self._stop),
+        }
+
+    def _read(self) -> str:
+        line = self.source.readline()
+        if line:
+            self.line_number += 1
+        return line
+
+    def run(self) -> None:
+        """Answer batches until the input ends."""
+        while True:
+            line = self._read()
+            if not line:
+                return
+            self._batch(line.rstrip("\n"))
+            self.out.append("finished\n")
+            self.sink.write("\n".join(self.out))
+            self.sink.flush()
+            self.out.clear()
+
+    def _batch(self, head: str) -> None:
+        parts = head.split(" ")
+        if parts[0] != "sync" or len(parts) != 2:
+            raise WireError("a batch must start with 'sync TIME'")
+        self.now = _int(parts[1], "the batch clock")
+        handlers = self.handlers
+        while True:
+            line = self._read()
+            if not line.endswith("\n"):
+                raise WireError("the input ends inside a batch")
+            line = line[:-1]
+            parts = line.split(" ")
+            name = parts[0]
+            if name == "over_to_you":
+                if len(parts) != 1:
+                    raise WireError("over_to_you takes no values")
+                return
+            if name == "power_on":
+                self._power_on(line)
+                continue
+            handler = handlers.get(name)
+            if handler is None:
+                raise WireError(f"unknown message {name[:40]!r}")
+            if len(parts) != handler[0]:
+                raise WireError(f"{name} takes {handler[0] - 1} values, {len(parts) - 1} came")
+            try:
+                handler[1](parts)
+            except WireError:
+                raise
+            except Exception as error:  # the module's own fault: told, never silent
+                self._broken(parts[1], error)
+
+    def _broken(self, instance: str, error: Exception) -> None:
+        text = " ".join(f"{type(error).__name__}: {error}".split())
+        self.out.append(f"broken {instance} {text}")
+
+    def _instance(self, name: str) -> Balancer:
+        found = self.instances.get(name)
+        if found is None:
+            raise WireError(f"{name[:40]!r} has not been started")
+        return found
+
+    def _power_on(self, line: str) -> None:
+        parts = line.split(" ", 3)
+        if len(parts) != 4:
+            raise WireError(f"power_on takes 3 values, {len(parts) - 1} came")
+        name, seed = parts[1], _int(parts[2], "Entropy")
+        try:
+            setup = json.loads(parts[3])
+        except ValueError:
+            raise WireError("Setup is no JSON object") from None
+        try:
+            settings = settings_from(setup)
+        except ValueError as error:
+            raise WireError(f"Setup: {error}") from None
+        try:
+            balancer = Balancer(settings, seed, Lines(name, self.out))
+            balancer.start(self.now)
+        except Exception as error:  # as above
+            self._broken(name, error)
+            return
+        self.instances[name] = balancer
+
+    def _stop(self, parts: list[str]) -> None:
+        if self.instances.pop(parts[1], None) is None:
+            raise WireError(f"{parts[1][:40]!r} has not been started")
+
+    def _order(self, parts: list[str]) -> None:
+        _, name, call, grade, team, _key, left, hint, options = parts
+        valid = options != "-" and _int(options, "Options") & HINT_VALID
+        hint_us = _int(hint, "HintUs") if hint != "-" else None
+        tenant = None if team in ("-", "0") else team
+        instance = self._instance(name)
+        if grade not in instance.classes:
+            raise WireError("Grade is no class of this instance")
+        instance.order(self.now, call, grade, tenant, _int(left, "ExpiresInUs"), hint_us if valid else None)
+
+    def _reply(self, parts: list[str]) -> None:
+        _, name, call, hop, endpoint, spent, closed, result, _stats = parts
+        self._instance(name).reply(
+            self.now,
+            call,
+            _int(hop, "Hop"),
+            endpoint,
+            _int(spent, "SpentUs"),
+            _code(BOOLS, closed, "Closed"),
+            _code(OUTCOMES, result, "Result"),
+        )
+
+    def _wake(self, parts: list[str]) -> None:
+        self._instance(parts[1]).wake(self.now, parts[2])
+
+    def _expired(self, parts: list[str]) -> None:
+        self._instance(parts[1]).expired(self.now, parts[2])
+
+    def _streaming(self, parts: list[str]) -> None:
+        _int(parts[5], "SpentUs")
+        self._instance(parts[1]).streaming(self.now, parts[2], _int(parts[4], "Hop"))
+
+    def _sampled(self, parts: list[str]) -> None:
+        """Probe results: this module sends no probes, so they are only checked."""
+        self._instance(parts[1])
+        _code(OUTCOMES, parts[3], "Result")
+        _int(parts[4], "SpentUs")
+
+    def _mail(self, parts: list[str]) -> None:
+        """Messages of peers: this module sends none, so they are only checked."""
+        self._instance(parts[1])
+        _int(parts[2], "Neighbour")
+        if parts[3] != "-":
+            try:
+                base64.b64decode(parts[3], validate=True)
+            except (binascii.Error, ValueError):
+                raise WireError("Octets is no base64") from None
+
+    def _discovery(self, parts: list[str]) -> None:
+        _, name, form_code, index, page = parts
+        form: ListForm = _code(FORMS, form_code, "Form")
+        if index != "-":
+            _int(index, "Index")
+        entries: Sequence[Endpoint] = ()
+        if form is not ListForm.FAILED:
+            found = self.pages.get(_int(page, "Page"))
+            if found is None:
+                raise WireError(f"no manifest has number {page[:40]}")
+            entries = found
+        self._instance(name).discovery(self.now, form, entries)
+
+    def _manifest(self, parts: list[str]) -> None:
+        page, count = _int(parts[1], "Page"), _int(parts[2], "Lines")
+        if not 0 <= page < PAGES:
+            raise WireError("Page must lie in 0..15")
+        if count < 0:
+            raise WireError("Lines must not be negative")
+        self.pages[page] = [self._row() for _ in range(count)]
+
+    def _row(self) -> Endpoint:
+        line = self._read()
+        if not line.endswith("\n"):
+            raise WireError("the input ends inside a manifest")
+        parts = line[:-1].split(" ")
+        if parts[0] != "row" or len(parts) != 8:
+            raise WireError("a manifest takes rows of 7 values")
+        _, endpoint, zone, kind, cell, state, weight, launched = parts
+        try:
+            size = float(weight) if weight != "-" else 1.0
+        except ValueError:
+            raise WireError("Nominal is no number") from None
+        return Endpoint(
+            endpoint,
+            zone,
+            kind,
+            _int(cell, "Cohort") if cell != "-" else -1,
+            _code(STATES, state, "Readiness"),
+            size if size > 0 else 1.0,
+            _int(launched, "LaunchedUs") if launched != "-" else 0,
+        )
+
+
+def main() -> int:
+    host = WireHost(sys.stdin, sys.stdout)
+    try:
+        host.run()
+    except (WireError, UnicodeDecodeError) as error:
+        print(f"eiderhub: line {host.line_number}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
