--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -124,9 +124,11 @@
     may_cancel: bool = False
     retry_after: bool = False
     conn_idle_us: int = 0  # idle connections are closed after this; 0: not told
+    connect_timeout_us: int = 250_000  # a connection not up by then has failed
 
     def __post_init__(self) -> None:
         _require(self.conn_idle_us >= 0, "conn_idle_us", "must not be negative")
+        _require(self.connect_timeout_us > 0, "connect_timeout_us", "must be above 0")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
         _require(self.max_retry_after_us >= 0, "max_retry_after_us", "must not be negative")
 
--- /dev/null
+++ b/eiderhub/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: hosts one instance of the decision module on sockets."""
--- /dev/null
+++ b/eiderhub/sidecar/__main__.py
@@ -0,0 +1,113 @@
+"""Starts one sidecar, ends it on SIGTERM, and sets the exit status."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from eiderhub.sidecar.clock import now_us
+from eiderhub.sidecar.config import Config, ConfigError, load
+from eiderhub.sidecar.host import Host
+from eiderhub.sidecar.server import Server
+
+CALLERS_SHARE = 0.45  # of the descriptors
+ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
+LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
+AFTER_LONGEST_S = 0.4  # so that everything is answered by then
+FLUSH_S = 0.1  # for the last bytes to leave
+LAG_EVERY_S = 0.1
+LAG_LOG_S = 10.0
+LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
+LINES_PER_S = 20
+log = logging.getLogger("eiderhub.sidecar")
+
+
+class Sparse(logging.Filter):
+    """Lets through so many lines a second: a log that runs full would hold up every request."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second = 0
+        self.count = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self.second:
+            self.second, self.count = int(record.created), 0
+        self.count += 1
+        return self.count <= LINES_PER_S
+
+
+async def watch_lag() -> None:
+    """Log the longest lag of the event loop, sparsely: it adds to every latency that is measured here."""
+    worst, next_log = 0, now_us() + int(LAG_LOG_S * 1e6)
+    while True:
+        before = now_us()
+        await asyncio.sleep(LAG_EVERY_S)
+        now = now_us()
+        worst = max(worst, now - before - int(LAG_EVERY_S * 1e6))
+        if now >= next_log:
+            if worst >= LAG_WORTH_US:
+                log.warning("the event loop was late by up to %d ms", worst // 1000)
+            worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
+
+
+async def drain(server: Server, host: Host) -> None:
+    """Answer all that was taken, in time for SIGKILL, while callers are sent elsewhere."""
+    end = min(LONGEST_S, max(c.deadline_us for c in host.settings.classes) / 1e6) + AFTER_LONGEST_S
+    end_us = now_us() + int(end * 1e6)
+    server.draining = True
+    server.close_idle()
+    await asyncio.sleep(ACCEPT_S)
+    server.listener.close()
+    while server.callers and now_us() < end_us:
+        server.close_idle()
+        await asyncio.sleep(0.01)
+    host.fail_all()
+    server.close_idle()
+    await asyncio.sleep(FLUSH_S)
+
+
+async def serve(config: Config) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    host = Host(config)
+    host.start()
+    server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
+    await server.listen(config.listen.host, config.listen.port)
+    background = [loop.create_task(host.upstream.sweep()), loop.create_task(watch_lag())]
+    # What lives from here to the end need not be walked again: a full collection holds up every request.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    await stop.wait()
+    await drain(server, host)
+    for task in background:
+        task.cancel()
+
+
+def main() -> int:
+    handler = logging.StreamHandler()
+    handler.addFilter(Sparse())
+    logging.basicConfig(
+        level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", handlers=[handler]
+    )
+    try:
+        config = load(os.environ)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config))
+    except (ConfigError, OSError) as error:
+        print(f"eiderhub.sidecar: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/eiderhub/sidecar/config.py
@@ -0,0 +1,91 @@
+"""What a sidecar is told at its start: the environment and the JSON file that it names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from eiderhub.interface import Settings
+from eiderhub.settings import settings_from
+from eiderhub.sidecar.discovery import Listing, read_listing
+
+SOCKETS = 1024  # descriptors, where the configuration states no limit
+
+
+class ConfigError(Exception):
+    """A configuration that no sidecar can start from, worded for those on call."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Listing
+    settings: Settings
+
+
+def parse_address(text: object, key: str) -> Address:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ConfigError(f"{key}: no address:port: {text!r}")
+    return Address(host, int(port))
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed: no hexadecimal number: {value!r}") from None
+
+
+def _document(path: str) -> dict[str, Any]:
+    try:
+        document = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"GW_CONFIG: {path}: {error.strerror}") from None
+    except ValueError:
+        raise ConfigError(f"GW_CONFIG: {path}: no JSON") from None
+    if not isinstance(document, dict):
+        raise ConfigError(f"GW_CONFIG: {path}: must be an object")
+    return document
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration; the variables stand above what the file says of the same."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: missing")
+    document = _document(path)
+    limits = document.get("limits")
+    sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else SOCKETS
+    if not isinstance(sockets, int) or sockets < 1:
+        raise ConfigError(f"limits.sockets: impossible value {sockets!r}")
+    try:
+        settings = settings_from(document.get("settings"))
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+    try:
+        known = read_listing(document.get("known"))
+    except ValueError as error:
+        raise ConfigError(f"known: {error}") from None
+    return Config(
+        name=environ.get("GW_NAME") or str(document.get("name", "")),
+        listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
+        discovery=parse_address(environ.get("GW_DISCOVERY") or document.get("discovery"), "GW_DISCOVERY"),
+        seed=_seed(document.get("seed")),
+        sockets=sockets,
+        known=known,
+        settings=settings,
+    )
--- /dev/null
+++ b/eiderhub/sidecar/discovery.py
@@ -0,0 +1,138 @@
+"""Discovery: lists of endpoints, and the watch on their changes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from eiderhub.interface import Endpoint, ListForm, Readiness
+from eiderhub.sidecar.clock import UNIX_OFFSET_US
+from eiderhub.sidecar.upstream import Connection, Response
+
+WAIT_MS = 30_000  # a watch waits so long: discovery charges for each call, and the rules count from its end
+PATIENCE_S = 5.0  # and may be late by so much, where discovery works through a line of calls
+CONNECT_S = 2.0
+PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
+log = logging.getLogger(__name__)
+
+
+class Listed(NamedTuple):
+    """One entry: the endpoint as the module knows it, and where it listens."""
+
+    endpoint: Endpoint
+    host: str
+    port: int
+
+
+class Listing(NamedTuple):
+    generation: int
+    whole: bool
+    entries: list[Listed]
+
+
+def _entry(row: Any) -> Listed:
+    host, _, port = row["hostPort"].rpartition(":")
+    started_ms = int(row.get("startedAtMs") or 0)
+    weight = float(row.get("weight") or 1.0)
+    endpoint = Endpoint(
+        id=str(row["instanceId"]),
+        zone=str(row.get("zone") or ""),
+        kind=str(row.get("machineType") or ""),
+        cell=int(row["cell"]) if row.get("cell") is not None else -1,
+        readiness=Readiness(row["lifecycle"]),
+        weight=weight if weight > 0 else 1.0,
+        # 0 stands for long ago; the module's clock is monotonic, so a start may lie before its zero.
+        launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
+    )
+    if not host:
+        raise ValueError("hostPort")
+    return Listed(endpoint, host, int(port))
+
+
+def read_listing(document: Any) -> Listing:
+    """Read a list in discovery's form."""
+    try:
+        entries = [_entry(row) for row in document["instances"]]
+        return Listing(int(document["generation"]), bool(document["reset"]), entries)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ValueError(f"no list of endpoints ({type(error).__name__}: {error})") from None
+
+
+class Watcher:
+    """Keeps one watch open while it is on; a failure ends it, and the module decides when to ask again."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        generation: int,
+        persist: bool,
+        deliver: Callable[[ListForm, list[Listed]], None],
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.generation = generation
+        self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
+        self.deliver = deliver
+        self._task: asyncio.Task[None] | None = None
+        self._connection: Connection | None = None
+        self._answer: asyncio.Future[Response] | None = None
+
+    def turn(self, on: bool) -> None:
+        if on and self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+        elif not on and self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _run(self) -> None:
+        wait, most = PUSH_BACKOFF_S
+        while True:
+            try:
+                listing = await self._ask()
+            except (OSError, ValueError, TimeoutError) as error:
+                log.warning("discovery: %s: %s", type(error).__name__, error)
+                self._hang_up()
+                if not self.persist:
+                    self._task = None
+                    self.deliver(ListForm.FAILED, [])
+                    return
+                await asyncio.sleep(wait * random.uniform(0.5, 1.5))
+                wait = min(2 * wait, most)
+                continue
+            wait = PUSH_BACKOFF_S[0]
+            self.generation = listing.generation
+            self.deliver(ListForm.FULL if listing.whole else ListForm.DELTA, listing.entries)
+
+    async def _ask(self) -> Listing:
+        loop = asyncio.get_running_loop()
+        if self._connection is None or self._connection.lost:
+            fresh = Connection(self)
+            async with asyncio.timeout(CONNECT_S):
+                await loop.create_connection(lambda: fresh, self.host, self.port)
+            self._connection = fresh
+        self._answer = loop.create_future()
+        path = f"/discovery/hosts?after={self.generation}&wait_ms={WAIT_MS}"
+        self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
+        async with asyncio.timeout(WAIT_MS / 1000 + PATIENCE_S):
+            response = await self._answer
+        if response.status != 200:
+            raise ValueError(f"answered {response.status}")
+        return read_listing(json.loads(response.body))
+
+    def _hang_up(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(response)
+
+    def on_lost(self, connection: Connection) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(ConnectionResetError("the connection ended"))
--- /dev/null
+++ b/eiderhub/sidecar/host.py
@@ -0,0 +1,261 @@
+"""The host of the decision module: carries out its actions and tells it what happens. It decides nothing.
+
+It holds what the module must not be able to lose: each request has one final answer, and an alarm that
+gives it one in time whatever becomes of the module, the endpoints or the network.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from functools import partial
+from typing import Any, Protocol
+
+from eiderhub.balancer import Balancer
+from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.sidecar.clock import Alarm, now_us
+from eiderhub.sidecar.config import Config
+from eiderhub.sidecar.discovery import Listed, Watcher
+from eiderhub.sidecar.upstream import Attempt, Response, Upstream
+
+ANSWER_MARGIN_US = 20_000  # an answer leaves this long before the client's deadline: its bytes take time too
+UPSTREAM_SHARE = 0.45  # of the descriptors, for connections to endpoints; callers have as many
+log = logging.getLogger(__name__)
+
+
+class Caller(Protocol):
+    """Who asked: takes the one final answer."""
+
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
+
+
+class Request:
+    """One request that was taken, and its attempts."""
+
+    __slots__ = (
+        "alarm", "answered", "attempts", "body", "call", "caller", "deadline_us", "due_us", "grade", "head",
+        "hint_us", "out", "tenant",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        caller: Caller,
+        grade: str,
+        tenant: str | None,
+        hint_us: int | None,
+        deadline_us: int,
+        head: bytes,
+        body: bytes,
+    ) -> None:
+        self.caller = caller
+        self.grade = grade
+        self.tenant = tenant
+        self.hint_us = hint_us
+        self.deadline_us = deadline_us  # when the client gives up
+        self.due_us = deadline_us - ANSWER_MARGIN_US  # when the answer leaves at the latest
+        self.head = head  # request line and headers for endpoints, but for the time that is left
+        self.body = body
+        self.call = ""
+        self.attempts: list[Attempt] = []
+        self.out = 0  # attempts that have not ended
+        self.answered = False
+        self.alarm: Alarm | None = None
+
+
+class Host:
+    """Implements the module's `Actions` and feeds its `Events`."""
+
+    def __init__(self, config: Config) -> None:
+        settings = config.settings
+        self.settings = settings
+        self.requests: dict[str, Request] = {}
+        self.serial = 0
+        self.listed = False  # whether any list has named endpoints
+        self.upstream = Upstream(
+            settings.limits.conn_idle_us,
+            settings.limits.connect_timeout_us,
+            max(1, int(UPSTREAM_SHARE * config.sockets)),
+        )
+        self.watcher = Watcher(
+            config.discovery.host,
+            config.discovery.port,
+            config.known.generation,
+            settings.discovery is Discovery.PUSH,
+            self.on_list,
+        )
+        self.balancer = Balancer(settings, config.seed, self)
+        self.known = config.known
+
+    def start(self) -> None:
+        """Start the module on the list that was known last, which is in use until discovery answers."""
+        self.balancer.start(now_us())
+        self.on_list(ListForm.CACHED, self.known.entries)
+        if self.settings.discovery is Discovery.PUSH:
+            self.watcher.turn(True)
+
+    @property
+    def ready(self) -> bool:
+        return self.listed
+
+    def _tell(self, event: Callable[..., None], *values: Any) -> bool:
+        """Tell the module; its failure must neither end the process nor lose what it holds."""
+        try:
+            event(now_us(), *values)
+        except Exception:
+            log.exception("the module failed")
+            return False
+        return True
+
+    # --- requests ---
+
+    def take(self, request: Request) -> None:
+        """A request has come whole: from here on one answer is owed."""
+        self.serial += 1
+        # An id of our own: a caller that repeats one must not meet what the module still holds under it.
+        call = request.call = f"{self.serial:016x}"
+        self.requests[call] = request
+        request.alarm = Alarm(request.due_us, partial(self._out_of_time, request))
+        left = request.deadline_us - now_us()
+        if not self._tell(self.balancer.order, call, request.grade, request.tenant, left, request.hint_us):
+            self._abandon(request, 500)
+
+    def gone(self, request: Request) -> None:
+        """The client has closed its connection: nothing more is sent for it."""
+        if not request.answered:
+            self._close(request)
+            self._tell(self.balancer.expired, request.call)
+
+    def _close(self, request: Request) -> None:
+        request.answered = True
+        if request.alarm is not None:
+            request.alarm.cancel()
+        if not request.out:
+            self._discard(request)
+
+    def _discard(self, request: Request) -> None:
+        """Nothing more can come for it; its attempts point back at it, so it would be garbage in a cycle."""
+        self.requests.pop(request.call, None)
+        request.attempts.clear()
+
+    def _answer(self, request: Request, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """The one final answer: whatever would be a second one is dropped here."""
+        if request.answered:
+            return
+        self._close(request)
+        request.caller.answer(status, headers, body)
+
+    def _abandon(self, request: Request, status: int) -> None:
+        """Answer in place of the module, and tell it that the request is over."""
+        if not request.answered:
+            self._answer(request, status, [], b"")
+            self._tell(self.balancer.expired, request.call)
+
+    def _out_of_time(self, request: Request) -> None:
+        """Attempts end by time, and so does what the module holds: an answer is due now, not later."""
+        for attempt in list(request.attempts):
+            attempt.drop(Outcome.TIMEOUT)
+        self._abandon(request, 504)
+
+    def fail_all(self) -> None:
+        """The process ends: what is still open is answered now."""
+        for request in list(self.requests.values()):
+            if not request.answered:
+                self._out_of_time(request)
+
+    # --- attempts ---
+
+    def _data(self, request: Request, until_us: int, now: int) -> bytes | None:
+        """The bytes of an attempt that is written now; none once the request is over."""
+        left_ms = (until_us - now) // 1000
+        if request.answered or left_ms < 1:
+            return None
+        return b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (request.head, left_ms, request.body)
+
+    def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
+        request.out -= 1
+        if outcome is Outcome.OK and response is not None:
+            self._answer(request, 200, response.headers, response.body)
+        if request.answered and not request.out:
+            self._discard(request)
+        spent = now_us() - attempt.sent_us
+        told = self._tell(
+            self.balancer.reply,
+            request.call,
+            attempt.number,
+            attempt.endpoint,
+            spent,
+            request.answered,
+            outcome,
+        )
+        if not told and not request.out:
+            self._abandon(request, 500)
+
+    # --- the module's actions ---
+
+    def hand_off(self, call: str, endpoint: str, max_wait_us: int) -> None:
+        request = self.requests.get(call)
+        if request is None:
+            log.error("an attempt was asked for a request that is over")
+            return
+        until = request.due_us
+        if max_wait_us:
+            until = min(until, now_us() + max_wait_us)
+        attempt = Attempt(
+            len(request.attempts),
+            endpoint,
+            partial(self._data, request, until),
+            partial(self._ended, request),
+        )
+        request.attempts.append(attempt)
+        request.out += 1
+        if request.answered or attempt.number >= self.settings.limits.max_attempts:
+            asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
+            return
+        if until < request.due_us:
+            attempt.alarm = Alarm(until, partial(attempt.drop, Outcome.TIMEOUT))
+        self.upstream.send(attempt)
+
+    def cancel(self, call: str, attempt: int) -> None:
+        request = self.requests.get(call)
+        if request is not None and attempt < len(request.attempts):
+            # Later, for its outcome must not reach the module inside one of the module's own calls.
+            asyncio.get_running_loop().call_soon(request.attempts[attempt].drop, Outcome.CANCELLED)
+
+    def shed(self, call: str, wait_us: int) -> None:
+        request = self.requests.get(call)
+        if request is not None:
+            headers = [(b"Retry-After", b"%.3f" % (wait_us / 1e6))] if wait_us > 0 else []
+            self._answer(request, 503, headers, b"")
+
+    def surrender(self, call: str) -> None:
+        request = self.requests.get(call)
+        if request is not None:
+            self._answer(request, 504 if now_us() >= request.due_us else 502, [], b"")
+
+    def timer(self, delay_us: int, mark: str) -> None:
+        Alarm(now_us() + delay_us, partial(self._tell, self.balancer.wake, mark))
+
+    def tail(self, on: bool) -> None:
+        self.watcher.turn(on)
+
+    def disconnect(self, endpoint: str) -> None:
+        self.upstream.close_idle(endpoint)
+
+    def write_log(self, text: str) -> None:
+        log.info("%s", text)
+
+    # --- discovery ---
+
+    def on_list(self, form: ListForm, entries: list[Listed]) -> None:
+        """Rule 9: the pools learn first, so that nothing new leaves for what drains or is gone."""
+        if form in (ListForm.FULL, ListForm.CACHED):
+            for missing in self.upstream.pools.keys() - {entry.endpoint.id for entry in entries}:
+                self.upstream.retire(missing)
+        for endpoint, host, port in entries:
+            if endpoint.readiness is Readiness.READY:
+                self.upstream.place(endpoint.id, host, port, endpoint.launched_us)
+            else:
+                self.upstream.retire(endpoint.id)
+        self.listed = self.listed or bool(entries)
+        self._tell(self.balancer.discovery, form, [entry.endpoint for entry in entries])
--- /dev/null
+++ b/eiderhub/sidecar/upstream.py
@@ -0,0 +1,367 @@
+"""Connections to endpoints: the keep-alive pools, and how each attempt ended.
+
+There is no hidden resend: an attempt is written to one connection, once, and what became of it is told
+apart as finely as the socket allows, since a request that has surely not run may be tried again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import select
+from collections.abc import Callable
+from typing import NamedTuple, Protocol, cast
+
+import httptools
+
+from eiderhub.interface import Outcome
+from eiderhub.sidecar.clock import Alarm, now_us
+
+IDLE_SHARE = 0.85  # of the time after which endpoints close idle connections, how long we keep them
+IDLE_US = 5_000_000  # that time, where it is not told
+SWEEP_S = 0.25  # how often idle connections are looked at
+MAX_RESPONSE = 1 << 20  # bytes of a body: far more than the protocol allows is no answer
+
+# Headers that belong to one connection, and not to the message: RFC 9110, 7.6.1.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+        b"upgrade", b"content-length", b"host", b"expect",
+    )
+)  # fmt: skip
+log = logging.getLogger(__name__)
+
+
+class Response(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Owner(Protocol):
+    """Who opened a connection, and is told what comes of it."""
+
+    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None: ...
+
+    def on_lost(self, connection: Connection) -> None: ...
+
+
+class Connection(asyncio.Protocol):
+    """One HTTP/1.1 connection that we opened; it carries one exchange at a time."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.attempt: Attempt | None = None
+        self.busy = False
+        self.written = False  # whether the last byte of the request has left for the kernel
+        self.lost = False
+        self.idle_since = 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._keep = False
+        self._response: Response | None = None
+
+    # --- the socket ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
+        # With no buffer allowed, `pause_writing` tells that the kernel has not taken all of a request yet.
+        self.transport.set_write_buffer_limits(high=0)
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def stale(self) -> bool:
+        """Whether an idle connection has anything to read: its end, or what nobody asked for.
+
+        Guards against writing an unsafe request to a connection whose end the loop has not come to yet.
+        """
+        return self.lost or bool(self._poll.poll(0))
+
+    def send(self, data: bytes) -> None:
+        self.busy = self.written = True
+        self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        self.written = False
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def close(self) -> None:
+        """Give up the exchange: whatever still comes on this connection reaches nobody."""
+        if not self.lost:
+            self.lost = True
+            self.transport.abort()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.lost:
+            self.lost = True
+            self.owner.on_lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.lost:
+            return
+        if not self.busy:  # nobody asked
+            self._fail()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._fail()
+            return
+        if self._response is not None:
+            self._complete(self._response)
+
+    def _fail(self) -> None:
+        self.close()
+        self.owner.on_lost(self)
+
+    def _complete(self, response: Response) -> None:
+        reusable = self._keep and self.written
+        self.busy = False
+        self._reset()
+        if not reusable:
+            self.close()
+        self.owner.on_response(self, response, reusable)
+
+    # --- the parser's calls ---
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MAX_RESPONSE:
+            raise ValueError("the body is too long")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200:  # an interim answer
+            self._headers, self._body, self._size = [], [], 0
+            return
+        if self._response is not None:
+            raise ValueError("two answers to one request")
+        # Only here does the parser know: once it has left this message, it speaks for the next.
+        self._keep = self._parser.should_keep_alive()
+        self._response = Response(status, self._headers, b"".join(self._body))
+
+
+class Attempt:
+    """One try of a request at one endpoint. It ends once; `on_end` is told how."""
+
+    __slots__ = ("alarm", "connection", "data", "endpoint", "number", "on_end", "over", "sent_us")
+
+    def __init__(
+        self,
+        number: int,
+        endpoint: str,
+        data: Callable[[int], bytes | None],
+        on_end: Callable[[Attempt, Outcome, Response | None], None],
+    ) -> None:
+        self.number = number
+        self.endpoint = endpoint
+        self.data = data  # the bytes to send, made as they go out, or None where the time is up
+        self.on_end = on_end
+        self.sent_us = now_us()
+        self.connection: Connection | None = None
+        self.alarm: Alarm | None = None
+        self.over = False
+
+    def end(self, outcome: Outcome, response: Response | None = None) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.alarm is not None:
+            self.alarm.cancel()
+        self.on_end(self, outcome, response)
+
+    def drop(self, outcome: Outcome) -> None:
+        """Stop waiting: closing the connection keeps the late answer from any other request."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.attempt = None
+            connection.owner.on_lost(connection)
+            connection.close()
+        self.end(outcome)
+
+
+class Pool:
+    """The connections to one endpoint."""
+
+    def __init__(self, upstream: Upstream, host: str, port: int, launched_us: int) -> None:
+        self.upstream = upstream
+        self.host = host
+        self.port = port
+        self.launched_us = launched_us
+        self.ready = True
+        self.idle: list[Connection] = []  # the most recently used last
+
+    def take(self) -> Connection | None:
+        """The connection used most recently, so that the others can age and go."""
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.stale():
+                return connection
+            connection.close()
+            self.upstream.open -= 1
+        return None
+
+    def close_idle(self, used_before_us: int | None = None) -> None:
+        while self.idle and (used_before_us is None or self.idle[0].idle_since < used_before_us):
+            self.idle.pop(0).close()
+            self.upstream.open -= 1
+
+    # --- what its connections tell ---
+
+    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
+        attempt, connection.attempt = connection.attempt, None
+        if reusable:
+            self.rest(connection)
+        else:
+            self.upstream.open -= 1
+        if attempt is not None:
+            attempt.connection = None
+            attempt.end(classify(response), response)
+
+    def on_lost(self, connection: Connection) -> None:
+        self.upstream.open -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+        attempt, connection.attempt = connection.attempt, None
+        if attempt is not None:
+            attempt.connection = None
+            # Not wholly written: the endpoint begins with the last byte, so it never ran.
+            attempt.end(Outcome.RESET if connection.written else Outcome.CONNECT_FAILED)
+
+    def rest(self, connection: Connection) -> None:
+        if self.ready:
+            connection.idle_since = now_us()
+            self.idle.append(connection)
+        else:
+            connection.close()
+            self.upstream.open -= 1
+
+
+def classify(response: Response) -> Outcome:
+    """The protocol's table of what comes back; a plain 503 is an error that may have run."""
+    if response.status == 200:
+        return Outcome.OK
+    if response.status in (503, 504):
+        for name, value in response.headers:
+            if name.lower() == b"srv-declined" and value.strip() == b"1":
+                return Outcome.FULL
+    return Outcome.ERROR
+
+
+class Upstream:
+    """All pools, and the bound on their connections together."""
+
+    def __init__(self, idle_us: int, connect_timeout_us: int, most: int) -> None:
+        self.keep_us = int(IDLE_SHARE * (idle_us or IDLE_US))
+        self.connect_timeout_s = connect_timeout_us / 1e6
+        self.most = most
+        self.open = 0  # connections that are up or coming up
+        self.pools: dict[str, Pool] = {}
+        self._connecting: set[asyncio.Task[None]] = set()
+
+    async def sweep(self) -> None:
+        """Close idle connections well before their endpoints do: one that crosses a request resets it."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            before = now_us() - self.keep_us
+            for pool in self.pools.values():
+                pool.close_idle(before)
+
+    def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
+        """An endpoint that is ready; where its address is another, or its process, old connections go."""
+        pool = self.pools.get(endpoint)
+        if pool is None:
+            self.pools[endpoint] = Pool(self, host, port, launched_us)
+            return
+        if (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
+            pool.close_idle()
+            pool.host, pool.port, pool.launched_us = host, port, launched_us
+        pool.ready = True
+
+    def retire(self, endpoint: str) -> None:
+        """An endpoint that drains or is gone: what it has may end, nothing new begins."""
+        pool = self.pools.get(endpoint)
+        if pool is not None:
+            pool.ready = False
+            pool.close_idle()
+
+    def close_idle(self, endpoint: str) -> None:
+        pool = self.pools.get(endpoint)
+        if pool is not None:
+            pool.close_idle()
+
+    def send(self, attempt: Attempt) -> None:
+        """Begin an attempt. It never ends within this call: the module is still at work above it."""
+        pool = self.pools.get(attempt.endpoint)
+        loop = asyncio.get_running_loop()
+        if pool is None or not pool.ready:
+            loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
+            return
+        connection = pool.take()
+        if connection is not None:
+            self._write(attempt, connection, pool)
+        elif self.open < self.most or self._make_room():
+            self.open += 1
+            task = loop.create_task(self._connect(attempt, pool))
+            self._connecting.add(task)
+            task.add_done_callback(self._connecting.discard)
+        else:
+            log.warning("no descriptor is left for a connection to an endpoint")
+            loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle longest."""
+        pools = [pool for pool in self.pools.values() if pool.idle]
+        if not pools:
+            return False
+        oldest = min(pools, key=lambda pool: pool.idle[0].idle_since)
+        oldest.idle.pop(0).close()
+        self.open -= 1
+        return True
+
+    async def _connect(self, attempt: Attempt, pool: Pool) -> None:
+        connection = Connection(pool)
+        try:
+            # A machine that has vanished says nothing: a connection that does not come up has to be given up.
+            async with asyncio.timeout(self.connect_timeout_s):
+                await asyncio.get_running_loop().create_connection(lambda: connection, pool.host, pool.port)
+        except (OSError, TimeoutError):
+            self.open -= 1
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        if connection.lost:  # it broke at once; `on_lost` has counted it
+            attempt.end(Outcome.CONNECT_FAILED)
+        elif attempt.over:  # given up meanwhile: the handshake is paid, the next attempt may use it
+            pool.rest(connection)
+        elif not pool.ready:  # Rule 9: the drain was told while the connection came up
+            pool.rest(connection)
+            attempt.end(Outcome.CONNECT_FAILED)
+        else:
+            self._write(attempt, connection, pool)
+
+    def _write(self, attempt: Attempt, connection: Connection, pool: Pool) -> None:
+        data = attempt.data(now_us())
+        if data is None:
+            pool.rest(connection)
+            asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
+            return
+        connection.attempt = attempt
+        attempt.connection = connection
+        connection.send(data)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -12,7 +12,8 @@
 import pytest
 
 from eiderhub.interface import Discovery, Effect, Group
-from eiderhub.wirehost import WireError, WireHost, settings_from
+from eiderhub.settings import settings_from
+from eiderhub.wirehost import WireError, WireHost
 
 
 def setup(**changes: Any) -> dict[str, Any]:
