--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -82,7 +82,8 @@
     server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
     await server.bind(config.listen.host, config.listen.port)
     host.start()
-    background = [loop.create_task(host.upstream.sweep()), loop.create_task(watch_lag())]
+    chores = (host.upstream.sweep(), server.watch_callers(), watch_lag())
+    background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
     gc.collect()
     gc.freeze()
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -90,13 +90,14 @@
         elif not on and self._task is not None:
             self._task.cancel()
             self._task = None
+            self._hang_up()  # its answer would come in for the next watch
 
     async def _run(self) -> None:
         wait, most = PUSH_BACKOFF_S
         while True:
             try:
                 listing = await self._ask()
-            except (OSError, ValueError, TimeoutError) as error:
+            except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._hang_up()
                 if not self.persist:
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 from typing import NamedTuple, cast
 
 import httptools
@@ -16,14 +17,12 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 MAX_DEADLINE_MS = 3_600_000
+READ_S = 10.0  # a request that has not come whole by then never will: callers give up sooner
+READ_CHECK_S = 1.0
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
 BUSY_WAIT = b"1"  # Retry-After where no descriptor is left
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
-    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
-    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
-}  # fmt: skip
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
 log = logging.getLogger(__name__)
 
@@ -58,6 +57,7 @@
         self.waiting: list[Incoming] = []  # came before the answer to the one before
         self.keep = True
         self.receiving = False
+        self.began_us = 0  # when the request that is coming in began
         self.ended = False  # nothing that still comes is read
         self.fault: Rejected | None = None
         self.parser = httptools.HttpRequestParser(self)
@@ -75,9 +75,12 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.ended = True
-            fault = self.fault or Rejected(400, "malformed HTTP")
-            self._accept(Incoming(b"", b"", [], b"", False, 0, fault))
+            self.stop(self.fault or Rejected(400, "malformed HTTP"))
+
+    def stop(self, fault: Rejected) -> None:
+        """Read nothing more; the answer comes in its turn, and the connection closes after it."""
+        self.ended = True
+        self._accept(Incoming(b"", b"", [], b"", False, 0, fault))
 
     def eof_received(self) -> bool:
         return False  # a caller that closes has gone away, whatever it still could read
@@ -95,6 +98,7 @@
 
     def on_message_begin(self) -> None:
         self.receiving = True
+        self.began_us = now_us()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -111,15 +115,15 @@
     def _grow_head(self, size: int) -> None:
         self._head_size += size
         if self._head_size > MAX_HEAD:
-            self._stop(Rejected(431, "the headers are too long"))
+            self._fault(Rejected(431, "the headers are too long"))
 
     def on_body(self, body: bytes) -> None:
         self._body_size += len(body)
         if self._body_size > MAX_BODY:
-            self._stop(Rejected(413, "the body is too long"))
+            self._fault(Rejected(413, "the body is too long"))
         self._body.append(body)
 
-    def _stop(self, fault: Rejected) -> None:
+    def _fault(self, fault: Rejected) -> None:
         self.fault = fault
         raise fault
 
@@ -241,6 +245,15 @@
     def forget(self, request_id: bytes) -> None:
         self.open_ids.discard(request_id)
 
+    async def watch_callers(self) -> None:
+        """Guards the descriptors against callers that never finish what they began to send."""
+        while True:
+            await asyncio.sleep(READ_CHECK_S)
+            before = now_us() - int(READ_S * 1e6)
+            for caller in list(self.callers):
+                if caller.receiving and not caller.ended and caller.began_us < before:
+                    caller.stop(Rejected(408, "the request did not come whole"))
+
     def close_idle(self) -> None:
         for caller in list(self.callers):
             if not caller.busy:
@@ -272,7 +285,7 @@
 
     def _request(self, caller: CallerConnection, incoming: Incoming, grade: RequestClass) -> Request:
         fields: dict[bytes, bytes] = {}
-        lines = [b"%s %s HTTP/1.1\r\nHost: endpoint\r\n" % (incoming.method, incoming.url)]
+        lines = [b"%s %s HTTP/1.1\r\n" % (incoming.method, incoming.url)]
         for name, value in incoming.headers:
             key = name.lower()
             if key in fields and (key.startswith(b"req-") or key == b"idempotency-key"):
@@ -280,6 +293,8 @@
             fields[key] = value
             if key not in NOT_FORWARDED:
                 lines.append(b"%s: %s\r\n" % (name, value))
+        if b"host" not in fields:  # HTTP/1.0 may leave it out, what goes on may not
+            lines.append(b"Host: endpoint\r\n")
         _check_method(incoming.method, grade, fields)
         request_id = fields.get(b"req-id", b"")
         if not _is_token(request_id):
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -26,7 +26,7 @@
 HOP_BY_HOP = frozenset(
     (
         b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-        b"upgrade", b"content-length", b"host", b"expect",
+        b"upgrade", b"content-length", b"expect",
     )
 )  # fmt: skip
 log = logging.getLogger(__name__)
@@ -117,7 +117,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail()
             return
         if self._response is not None:
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 from collections.abc import Coroutine
 from typing import Any
@@ -106,11 +105,6 @@
     def reset(self) -> None:
         self.writer.transport.abort()
 
-    async def closed(self) -> None:
-        """Wait until the other side has closed the connection."""
-        with contextlib.suppress(ConnectionError):
-            await self.writer.wait_closed()
-
 
 class Fake:
     """A server whose every request waits for the test's word."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,6 +16,7 @@
 import pytest
 
 from eiderhub.interface import ListForm, Outcome, Readiness
+from eiderhub.sidecar import server
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
@@ -49,6 +50,7 @@
             client.send("hold", deadline_ms=900, body=b"\x00\x01two", request_id="00aa")
             asked = await sidecar.endpoints[0].next()
             assert asked.message.first == "POST /hold/a?b=1 HTTP/1.1"
+            assert asked.message.headers["host"] == "service.internal"
             assert asked.message.headers["req-id"] == "00aa"
             assert asked.message.headers["idempotency-key"] == "k1"
             assert 500 < int(asked.message.headers["req-deadline-ms"]) <= 860
@@ -296,9 +298,10 @@
 def test_client_gone_stops_the_attempt() -> None:
     async def test() -> None:
         async with Sidecar() as sidecar:
-            asked, client = await one_attempt(sidecar)
+            client = await sidecar.client()
+            client.send(deadline_ms=3_000_000)  # so that no attempt ends by time within the test
+            await sidecar.endpoints[0].next()
             client.writer.close()
-            await asked.closed()
             assert await sidecar.endpoints[0].ends.get() == 0
             assert not sidecar.host.requests
             assert not sidecar.host.balancer.calls
@@ -322,7 +325,7 @@
 BAD_INPUT = [
     ("malformed", "nonsense\r\n\r\n", 400, True),
     ("long headers", HEAD + "A: " + "x" * 20_000 + "\r\n\r\n", 431, True),
-    ("long body", HEAD + "Req-Id: 1\r\nContent-Length: 70000\r\n\r\n" + "x" * 70_000, 413, True),
+    ("long body", HEAD + "Req-Id: 1\r\nContent-Length: 4000000\r\n\r\n" + "x" * 4_000_000, 413, True),
     ("unknown path", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404, False),
     ("unknown class", "GET /stare HTTP/1.1\r\nHost: a\r\n\r\n", 404, False),
 ]
@@ -349,6 +352,22 @@
     run(test())
 
 
+def test_request_that_never_comes_whole_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(server, "READ_S", 0.05)
+        monkeypatch.setattr(server, "READ_CHECK_S", 0.02)
+        async with Sidecar() as sidecar:
+            watch = asyncio.create_task(sidecar.server.watch_callers())
+            client = await sidecar.client()
+            assert await ready(client) == 200
+            client.writer.write(HEAD.encode())
+            assert (await client.answer()).status == 408
+            assert await client.reader.read() == b""
+            watch.cancel()
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("grade", "changes", "status"),
     [
@@ -549,6 +568,23 @@
     run(test())
 
 
+@pytest.mark.parametrize("reset", [True, False])
+def test_idle_connections_to_an_endpoint_that_is_gone_close(reset: bool) -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send()
+            (await sidecar.endpoints[0].next()).reply()
+            await client.answer()
+            begun = time.monotonic()
+            rows = [] if reset else [row("s-0", sidecar.endpoints[0].address, "gone")]
+            (await sidecar.discovery.next()).reply(200, listing(2, reset, *rows))
+            assert await sidecar.endpoints[0].ends.get() == 0
+            assert time.monotonic() - begun < 2.0  # long before it would have been closed as idle
+
+    run(test())
+
+
 def test_drain_told_while_a_connection_comes_up_keeps_the_request_from_it() -> None:
     async def test() -> None:
         async with Sidecar() as sidecar:
