--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -248,7 +248,7 @@
     # --- discovery ---
 
     def on_list(self, form: ListForm, entries: list[Listed]) -> None:
-        """Rule 9: the pools learn first, so that nothing new leaves for what drains or is gone."""
+        """Rule 3: the pools learn first, so that nothing new leaves for what drains or is gone."""
         if form in (ListForm.FULL, ListForm.CACHED):
             for missing in self.upstream.pools.keys() - {entry.endpoint.id for entry in entries}:
                 self.upstream.retire(missing)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -350,7 +350,7 @@
             attempt.end(Outcome.CONNECT_FAILED)
         elif attempt.over:  # given up meanwhile: the handshake is paid, the next attempt may use it
             pool.rest(connection)
-        elif not pool.ready:  # Rule 9: the drain was told while the connection came up
+        elif not pool.ready:  # Rule 3: the drain was told while the connection came up
             pool.rest(connection)
             attempt.end(Outcome.CONNECT_FAILED)
         else:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import socket
@@ -16,6 +17,7 @@
 import pytest
 
 from eiderhub.interface import ListForm, Outcome, Readiness
+from eiderhub.sidecar import __main__ as program
 from eiderhub.sidecar import server
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
@@ -113,7 +115,7 @@
 
 @pytest.mark.parametrize("status", [500, 503, 504, 429, 404])
 def test_error_that_may_have_run_is_no_refusal_and_unsafe_is_not_sent_again(status: int) -> None:
-    """Rule 8: an endpoint's own 503 must not reach the client as a promise that a retry is harmless."""
+    """Rule 2: an endpoint's own 503 must not reach the client as a promise that a retry is harmless."""
 
     async def test() -> None:
         async with Sidecar(endpoints=2) as sidecar:
@@ -620,6 +622,29 @@
     run(test())
 
 
+def test_lag_of_the_loop_is_logged(monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(program, "LAG_EVERY_S", 0.01)
+        monkeypatch.setattr(program, "LAG_LOG_S", 0.02)
+        watch = asyncio.create_task(program.watch_lag())
+        await asyncio.sleep(0)
+        time.sleep(0.1)  # what a slow handler does to all requests
+        while not caplog.records:
+            await asyncio.sleep(0.01)
+        watch.cancel()
+        assert caplog.messages[0].startswith("the event loop was late by up to")
+
+    run(test())
+
+
+def test_log_lets_few_lines_through_each_second() -> None:
+    sparse = program.Sparse()
+    records = [logging.makeLogRecord({"created": 7.0 + i / 1000}) for i in range(1001)]
+    passed = [record for record in records if sparse.filter(record)]
+    assert len(passed) == program.LINES_PER_S + 1  # the last record is of the next second
+    assert passed[-1] is records[-1]
+
+
 # --- the process ---
 
 
