Answer what waits behind a request while draining; answer an upgrade once

Found by reading answer() against rule 1: with keep-alive off while draining, _finish dropped requests that had been taken behind the current one. And the parser stops after an Upgrade header, which was taken for malformed input, so that a second answer followed the first. Both tests fail without it.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -74,7 +74,9 @@
             return
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            self.ended = True  # the request itself was taken, and its answer closes the connection
+        except httptools.HttpParserError:
             self.stop(self.fault or Rejected(400, "malformed HTTP"))
 
     def stop(self, fault: Rejected) -> None:
@@ -135,7 +137,7 @@
                 self._url,
                 self._headers,
                 b"".join(self._body),
-                self.parser.should_keep_alive(),
+                self.parser.should_keep_alive() and not self.parser.should_upgrade(),
                 now_us(),
             )
         )
@@ -174,7 +176,8 @@
         if self.current is not None:
             self.current = None
             self.server.forget(self.request_id)
-        keep = self.keep and not self.server.draining
+        # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
+        keep = self.keep and (bool(self.waiting) or not self.server.draining)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -95,6 +95,38 @@
     run(test())
 
 
+def test_request_that_waits_behind_another_is_answered_while_draining() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(body=b"0")
+            client.send(body=b"1")
+            asked = await sidecar.endpoints[0].next()
+            sidecar.server.draining = True
+            asked.reply(200, asked.message.body)
+            asked = await sidecar.endpoints[0].next()
+            asked.reply(200, asked.message.body)
+            assert [(await client.answer()).body for _ in range(2)] == [b"0", b"1"]
+            assert await client.reader.read() == b""
+
+    run(test())
+
+
+def test_upgrade_is_not_taken_up_and_the_request_has_one_answer() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send("look", Connection="Upgrade", Upgrade="websocket")
+            asked = await sidecar.endpoints[0].next()
+            assert "upgrade" not in asked.message.headers
+            asked.reply()
+            answer = await client.answer()
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            assert await client.reader.read() == b""
+
+    run(test())
+
+
 # --- how attempts end ---
 
 
