--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one sidecar, ends it on SIGTERM, and sets the exit status."""
+"""Starts one sidecar, reloads on SIGHUP, ends on SIGTERM, and sets the exit status."""
 
 from __future__ import annotations
 
@@ -73,12 +73,21 @@
     await asyncio.sleep(FLUSH_S)
 
 
+def reload(host: Host) -> None:
+    """Read the configuration again; a bad one is logged and changes nothing."""
+    try:
+        host.reload(load(os.environ))
+    except Exception as error:  # whatever is wrong with a file, it must not end a process that serves
+        log.error("the configuration is not taken: %s", error)
+
+
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
+    loop.add_signal_handler(signal.SIGHUP, reload, host)
     server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
     await server.bind(config.listen.host, config.listen.port)
     host.start()
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -63,7 +63,11 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Read the configuration; the variables stand above what the file says of the same."""
+    """Read the configuration, at the start or again for a reload.
+
+    The variables stand above what the file says of the same, but for discovery: the file may be replaced
+    while the process runs, the environment can't.
+    """
     path = environ.get("GW_CONFIG")
     if not path:
         raise ConfigError("GW_CONFIG: missing")
@@ -83,7 +87,7 @@
     return Config(
         name=environ.get("GW_NAME") or str(document.get("name", "")),
         listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
-        discovery=parse_address(environ.get("GW_DISCOVERY") or document.get("discovery"), "GW_DISCOVERY"),
+        discovery=parse_address(document.get("discovery") or environ.get("GW_DISCOVERY"), "discovery"),
         seed=_seed(document.get("seed")),
         sockets=sockets,
         known=known,
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -14,9 +14,9 @@
 from eiderhub.sidecar.upstream import Connection, Response
 
 WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
-PATIENCE_S = 2.0  # and may be late by so much: from then on, what it had to tell counts as told
+PATIENCE_S = 2.0  # and may be late by so much, as may a call that does not wait: then it counts as told
 CONNECT_S = 2.0
-PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
+BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
 
 
@@ -80,6 +80,7 @@
         self.generation = generation
         self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
         self.deliver = deliver
+        self.moved = False  # the address is new and has told nothing yet
         self._task: asyncio.Task[None] | None = None
         self._connection: Connection | None = None
         self._answer: asyncio.Future[Response] | None = None
@@ -92,24 +93,37 @@
             self._task = None
             self._hang_up()  # its answer would come in for the next watch
 
+    def move(self, host: str, port: int) -> None:
+        """Watch at another address; the last list stays in use until that has told all of its own.
+
+        What it tells first must be the whole list: its versions need not be those of the last address.
+        """
+        log.info("discovery moves to %s:%d", host, port)
+        self.turn(False)
+        self.host, self.port = host, port
+        self.moved = True
+        self.turn(True)
+
     async def _run(self) -> None:
-        wait, most = PUSH_BACKOFF_S
+        wait, most = BACKOFF_S
         while True:
             try:
                 listing = await self._ask()
             except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._hang_up()
-                if not self.persist:
+                # A reload is done once the new address has told its list: no longer back-off may stand above.
+                if not self.persist and not self.moved:
                     self._task = None
                     self.deliver(ListForm.FAILED, [])
                     return
                 await asyncio.sleep(wait * random.uniform(0.5, 1.5))
                 wait = min(2 * wait, most)
                 continue
-            wait = PUSH_BACKOFF_S[0]
-            self.generation = listing.generation
-            self.deliver(ListForm.FULL if listing.whole else ListForm.DELTA, listing.entries)
+            wait = BACKOFF_S[0]
+            whole = listing.whole or self.moved
+            self.generation, self.moved = listing.generation, False
+            self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
 
     async def _ask(self) -> Listing:
         loop = asyncio.get_running_loop()
@@ -119,9 +133,11 @@
                 await loop.create_connection(lambda: fresh, self.host, self.port)
             self._connection = fresh
         self._answer = loop.create_future()
-        path = f"/discovery/hosts?after={self.generation}&wait_ms={WAIT_MS}"
+        path, wait_ms = "/discovery/hosts", 0
+        if not self.moved:
+            path, wait_ms = f"{path}?after={self.generation}&wait_ms={WAIT_MS}", WAIT_MS
         self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        async with asyncio.timeout(WAIT_MS / 1000 + PATIENCE_S):
+        async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S):
             response = await self._answer
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -94,6 +94,10 @@
         if self.settings.discovery is Discovery.PUSH:
             self.watcher.turn(True)
 
+    def reload(self, config: Config) -> None:
+        """Take from a new configuration what may change while the process runs: where discovery is."""
+        self.watcher.move(config.discovery.host, config.discovery.port)
+
     @property
     def ready(self) -> bool:
         return self.listed
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -4,7 +4,11 @@
 
 import asyncio
 import json
+import os
+import subprocess
+import sys
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -234,3 +238,17 @@
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+
+def started(tmp_path: Path, changes: dict[str, Any], **variables: str) -> subprocess.Popen[str]:
+    """The program as a process of its own, told by a file in `tmp_path` and by these variables."""
+    document = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", **changes}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(document), encoding="utf-8")
+    environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+    return subprocess.Popen(
+        [sys.executable, "-m", "eiderhub.sidecar"],
+        env={**environ, "GW_CONFIG": str(path), **variables},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,119 @@
+"""New configurations under load: the watch moves, the list stays in use, and nothing ends the process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+from pathlib import Path
+
+import pytest
+
+from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run, started
+
+
+def test_watch_moves_and_takes_the_whole_list_of_the_new_address() -> None:
+    """The versions of the new address are its own: a change after ours would never come."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            stays, goes = sidecar.endpoints
+            (await sidecar.discovery.next()).reply(200, listing(90, False))
+            await sidecar.discovery.next()
+            other = await Fake().start()
+            host, _, port = other.address.rpartition(":")
+            sidecar.host.watcher.move(host, int(port))
+            await sidecar.discovery.ends.get()  # the old watch is closed
+            asked = await other.next()
+            assert asked.message.first == "GET /discovery/hosts HTTP/1.1"
+            assert all(pool.ready for pool in sidecar.host.upstream.pools.values())
+            asked.reply(200, listing(4, True, row("s-0", stays.address)))
+            assert (await other.next()).message.first.startswith("GET /discovery/hosts?after=4&")
+            client = await sidecar.client()
+            for _ in range(6):
+                client.send()
+                (await stays.next()).reply()
+                assert (await client.answer()).status == 200
+            assert goes.asked.empty()
+
+    run(test())
+
+
+def test_new_address_that_fails_at_first_is_asked_again_at_once() -> None:
+    """After a reload no longer back-off may stand in the way: what is told there counts 4 s later."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            other = await Fake().start()
+            host, _, port = other.address.rpartition(":")
+            sidecar.host.balancer.ask_wait = 60_000_000  # as after a long outage of the old address
+            sidecar.host.watcher.move(host, int(port))
+            (await other.next()).reply(503, b"")
+            (await other.next()).reply(200, listing(4, True))
+            await other.next()
+
+    run(test())
+
+
+def test_move_to_the_same_address_takes_the_whole_list_again() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            await sidecar.discovery.next()
+            watcher = sidecar.host.watcher
+            for _ in range(3):  # in a row, before any has been answered
+                watcher.move(watcher.host, watcher.port)
+            asked = await sidecar.discovery.next()
+            assert asked.message.first == "GET /discovery/hosts HTTP/1.1"
+            asked.reply(200, listing(2, True, row("s-0", sidecar.endpoints[0].address)))
+            assert (await sidecar.discovery.next()).message.first.startswith("GET /discovery/hosts?after=2&")
+            assert sidecar.discovery.asked.empty()
+
+    run(test())
+
+
+async def line_with(process: subprocess.Popen[str], text: str) -> str:
+    assert process.stderr is not None
+    while text not in (line := await asyncio.to_thread(process.stderr.readline)):
+        assert line, "the log has ended"
+    return line
+
+
+@pytest.mark.parametrize("bad", ["", "[]", '{"discovery": 7}'])
+def test_sighup_reads_the_file_again_and_a_bad_one_changes_nothing(tmp_path: Path, bad: str) -> None:
+    """Seen: SIGHUP had no handler and ended the process. The file's address wins over the variable's."""
+
+    async def test() -> None:
+        first, second, endpoint = [await Fake().start() for _ in range(3)]
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        document = {
+            "listen": f"127.0.0.1:{address[1]}",
+            "settings": SETUP,
+            "known": json.loads(listing(1, True, row("s-0", endpoint.address))),
+            "discovery": first.address,
+        }
+        process = started(tmp_path, document, GW_DISCOVERY=first.address)
+        file = tmp_path / "config.json"
+        try:
+            await line_with(process, "serves on")
+            await first.next()
+            client = Client(*await asyncio.open_connection(*address))
+            client.send()
+            asked = await endpoint.next()
+            good = file.read_text(encoding="utf-8")
+            file.write_text(bad, encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            await line_with(process, "the configuration is not taken")
+            assert first.ends.empty()
+            file.write_text(good.replace(first.address, second.address), encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            await second.next()
+            asked.reply()
+            assert (await client.answer()).status == 200
+        finally:
+            process.kill()
+            process.communicate()
+
+    run(test())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,11 +5,8 @@
 import asyncio
 import json
 import logging
-import os
 import signal
 import socket
-import subprocess
-import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -24,7 +21,7 @@
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream
-from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run
+from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run, started
 
 
 class Answers:
@@ -685,19 +682,6 @@
 # --- the process ---
 
 
-def started(tmp_path: Path, changes: dict[str, Any]) -> subprocess.Popen[str]:
-    document = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", **changes}
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(document), encoding="utf-8")
-    environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
-    return subprocess.Popen(
-        [sys.executable, "-m", "eiderhub.sidecar"],
-        env={**environ, "GW_CONFIG": str(path)},
-        stderr=subprocess.PIPE,
-        text=True,
-    )
-
-
 @pytest.mark.parametrize(
     ("changes", "reason"),
     [
