--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -664,6 +664,9 @@
                 self.endpoints[entry.id] = EndpointState(entry)
             else:
                 state.take(entry)
+        # Guards against ids that are ever new: what has left is forgotten once nothing of it is out.
+        for left in [e for e in self.endpoints.values() if not e.ready and not e.in_flight]:
+            del self.endpoints[left.id]
         self._fill_pools()
         if self.queue.count:
             self._dispatch(now_us)
@@ -998,6 +1001,8 @@
         found.outstanding.discard(attempt)
         e, sent, pool, step = found.attempts[attempt]
         e.in_flight -= 1
+        if not e.ready and not e.in_flight and self.endpoints.get(e.id) is e:
+            del self.endpoints[e.id]
         e.used = now_us
         pool.limit.in_flight -= 1
         if step >= 0 and outcome not in NEVER_RAN:
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -16,7 +16,6 @@
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.server import Server
 
-CALLERS_SHARE = 0.55  # of the descriptors, for callers; the few that are left are for all else
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
@@ -88,7 +87,7 @@
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
     loop.add_signal_handler(signal.SIGHUP, reload, host)
-    server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
+    server = Server(host, config.bounds.callers)
     await server.bind(config.listen.host, config.listen.port)
     host.start()
     chores = (host.upstream.sweep(), server.watch_callers(), watch_lag())
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -10,9 +10,10 @@
 
 from eiderhub.interface import Settings
 from eiderhub.settings import settings_from
+from eiderhub.sidecar.bounds import Bounds
 from eiderhub.sidecar.discovery import Listing, read_listing
 
-SOCKETS = 1024  # descriptors, where the configuration states no limit
+SOCKETS, MEMORY_MB = 1024, 192  # where the configuration states no limit
 
 
 class ConfigError(Exception):
@@ -31,7 +32,7 @@
     listen: Address
     discovery: Address
     seed: int
-    sockets: int
+    bounds: Bounds
     known: Listing
     settings: Settings
 
@@ -62,6 +63,14 @@
     return document
 
 
+def _limit(document: dict[str, Any], key: str, default: int) -> float:
+    limits = document.get("limits")
+    value = limits.get(key, default) if isinstance(limits, dict) else default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
+        raise ConfigError(f"limits.{key}: impossible value {value!r}")
+    return float(value)
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration, at the start or again for a reload.
 
@@ -72,10 +81,6 @@
     if not path:
         raise ConfigError("GW_CONFIG: missing")
     document = _document(path)
-    limits = document.get("limits")
-    sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else SOCKETS
-    if not isinstance(sockets, int) or sockets < 1:
-        raise ConfigError(f"limits.sockets: impossible value {sockets!r}")
     try:
         settings = settings_from(document.get("settings"))
     except ValueError as error:
@@ -89,7 +94,9 @@
         listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
         discovery=parse_address(document.get("discovery") or environ.get("GW_DISCOVERY"), "discovery"),
         seed=_seed(document.get("seed")),
-        sockets=sockets,
+        bounds=Bounds.within(
+            int(_limit(document, "sockets", SOCKETS)), _limit(document, "memory_mb", MEMORY_MB)
+        ),
         known=known,
         settings=settings,
     )
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -10,9 +10,11 @@
 from typing import Any, NamedTuple
 
 from eiderhub.interface import Endpoint, ListForm, Readiness
+from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import UNIX_OFFSET_US
 from eiderhub.sidecar.upstream import Connection, Response
 
+MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
 WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
 PATIENCE_S = 2.0  # and may be late by so much, as may a call that does not wait: then it counts as told
 CONNECT_S = 2.0
@@ -128,7 +130,7 @@
     async def _ask(self) -> Listing:
         loop = asyncio.get_running_loop()
         if self._connection is None or self._connection.lost:
-            fresh = Connection(self)
+            fresh = Connection(self, Budget(MAX_LIST), MAX_LIST)
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: fresh, self.host, self.port)
             self._connection = fresh
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -14,13 +14,13 @@
 
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream
 
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
-UPSTREAM_SHARE = 0.4  # of the descriptors, for connections to endpoints
 log = logging.getLogger(__name__)
 
 
@@ -72,10 +72,12 @@
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.listed = False  # whether any list has named endpoints
+        self.budget = Budget(config.bounds.held)  # for requests and answers alike
         self.upstream = Upstream(
             settings.limits.conn_idle_us,
             settings.limits.connect_timeout_us,
-            max(1, int(UPSTREAM_SHARE * config.sockets)),
+            config.bounds.endpoints,
+            self.budget,
         )
         self.watcher = Watcher(
             config.discovery.host,
@@ -142,6 +144,7 @@
         # Not before: an attempt that outlives its request, at a silent machine, must end by time as well.
         if request.alarm is not None:
             request.alarm.cancel()
+            request.alarm = None  # it points back at the request
 
     def _answer(self, request: Request, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """The one final answer: whatever would be a second one is dropped here."""
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -1,4 +1,4 @@
-"""Callers' connections: parsing, `/up`, and answers."""
+"""Callers' connections: parsing, `/up`, answers, and who is closed when there are too many."""
 
 from __future__ import annotations
 
@@ -16,19 +16,23 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+HEADER_COST = 32  # bytes that each header counts beside its own: tiny ones fill the memory with objects
+MAX_WAITING = 4  # requests of one caller that wait for the answer before: callers send one at a time
 MAX_DEADLINE_MS = 3_600_000
-READ_S = 10.0  # a request that has not come whole by then never will: callers give up sooner
-READ_CHECK_S = 1.0
+READ_S = 2.0  # for a caller's first request, and for each later one from its first byte: 3 s are allowed
+IDLE_S = 15.0  # between requests, so that callers that never come back do not add up
+SPARE_S = 2.0  # a connection idle for so long may be closed to make room for a new one
+CHECK_S = 0.25
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
-BUSY_WAIT = b"1"  # Retry-After where no descriptor is left
+BUSY_WAIT = b"1"  # Retry-After where no memory is left
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
 log = logging.getLogger(__name__)
 
 
 class Rejected(Exception):
-    """Bad input: neither the module nor an endpoint hears of it."""
+    """Bad input: neither the module nor an endpoint hears of it, and the connection closes."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -36,7 +40,7 @@
 
 
 class Incoming(NamedTuple):
-    """A request as it came, or what was wrong with it."""
+    """A request as it came."""
 
     method: bytes
     url: bytes
@@ -44,7 +48,6 @@
     body: bytes
     keep: bool
     arrived_us: int
-    fault: Rejected | None = None
 
 
 class CallerConnection(asyncio.Protocol):
@@ -54,13 +57,20 @@
         self.server = server
         self.current: Request | None = None
         self.request_id = b""
-        self.waiting: list[Incoming] = []  # came before the answer to the one before
+        self.waiting: list[Incoming] = []  # whole, but not yet admitted
         self.keep = True
+        self.known = False  # whether it ever made a valid request
         self.receiving = False
-        self.began_us = 0  # when the request that is coming in began
+        self.since_us = now_us()  # when it connected, began what is coming in, fell idle, or ended
         self.ended = False  # nothing that still comes is read
+        self.lost = False
+        self.stuck = False  # the caller does not read its answers
+        self.held = 0  # bytes of bodies, against the server's budget
         self.fault: Rejected | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self._body = bytearray()
+        self._in_head = True
+        self._head_fed = 0  # bytes of a head that has not come whole; the parser keeps what has no end yet
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     # --- the socket ---
 
@@ -70,27 +80,51 @@
         self.server.joined(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.ended:
+        if self.ended or self._parser is None:
             return
+        was_in_head = self._in_head
         try:
-            self.parser.feed_data(data)
+            self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.ended = True  # the request itself was taken, and its answer closes the connection
         except httptools.HttpParserError:
             self.stop(self.fault or Rejected(400, "malformed HTTP"))
+            return
+        # Guards against a line without end: the parser hands on nothing of it before it ends.
+        self._head_fed = self._head_fed + len(data) if was_in_head and self._in_head else 0
+        if self._head_fed > MAX_HEAD and not self.waiting:
+            self.stop(Rejected(431, "the headers are too long"))
+            return
+        self._serve_next()
 
     def stop(self, fault: Rejected) -> None:
-        """Read nothing more; the answer comes in its turn, and the connection closes after it."""
-        self.ended = True
-        self._accept(Incoming(b"", b"", [], b"", False, 0, fault))
+        """Turn the caller away, with all that it has sent: it is read no further, and nothing is sent on.
+
+        What can't be read behind a request makes that request doubtful too: a length that is too short looks
+        just so. Callers that send one request at a time are never met by this.
+        """
+        if self.current is not None:
+            self.server.host.gone(self.current)
+        self._reject(fault)
 
     def eof_received(self) -> bool:
         return False  # a caller that closes has gone away, whatever it still could read
 
+    def pause_writing(self) -> None:
+        """Guards against answers that pile up unread: the next request waits until this one's has left."""
+        self.stuck = True
+        self._read(False)
+
+    def resume_writing(self) -> None:
+        self.stuck = False
+        asyncio.get_running_loop().call_soon(self._resume)
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = True
+        self.ended = self.lost = True
         self.waiting.clear()
+        self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
         self.server.left(self)
+        self._let_go()
         current, self.current = self.current, None
         if current is not None:
             self.server.forget(self.request_id)
@@ -100,46 +134,59 @@
 
     def on_message_begin(self) -> None:
         self.receiving = True
-        self.began_us = now_us()
+        self.since_us = now_us() if self.known else self.since_us  # the first one counts from connecting
+        self.server.idle.pop(self, None)
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._head_size = self._body_size = 0
+        self._body = bytearray()
+        self._head_size = 0
 
     def on_url(self, url: bytes) -> None:
         self._url += url
         self._grow_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
-        self._grow_head(len(name) + len(value))
+        if self._in_head:  # what comes behind a chunked body is no part of the head, and not passed on
+            self._headers.append((name, value))
+        self._grow_head(len(name) + len(value) + HEADER_COST)
 
     def _grow_head(self, size: int) -> None:
         self._head_size += size
         if self._head_size > MAX_HEAD:
-            self._fault(Rejected(431, "the headers are too long"))
+            self._fault(431, "the headers are too long")
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        if self._parser is not None and self._parser.get_http_version() not in ("1.0", "1.1"):
+            self._fault(400, "HTTP/1.0 or 1.1 only")
+        for name, value in self._headers:
+            key = name.lower()
+            if key == b"transfer-encoding" and value.lower() != b"chunked":
+                self._fault(400, "transfer-encoding: chunked only")  # the parser lets other codings pass
+            if key == b"content-length" and int(value) > MAX_BODY:  # digits: the parser saw to that
+                self._fault(413, "the body is too long")
 
     def on_body(self, body: bytes) -> None:
-        self._body_size += len(body)
-        if self._body_size > MAX_BODY:
-            self._fault(Rejected(413, "the body is too long"))
-        self._body.append(body)
+        if len(self._body) + len(body) > MAX_BODY:
+            self._fault(413, "the body is too long")
+        if not self.server.budget.take(len(body)):
+            self._fault(503, "no memory is left")  # harmless: it was sent nowhere
+        self.held += len(body)
+        self._body += body
 
-    def _fault(self, fault: Rejected) -> None:
-        self.fault = fault
-        raise fault
+    def _fault(self, status: int, reason: str) -> None:
+        self.fault = Rejected(status, reason)
+        raise self.fault
 
     def on_message_complete(self) -> None:
-        self.receiving = False
-        self._accept(
-            Incoming(
-                self.parser.get_method(),
-                self._url,
-                self._headers,
-                b"".join(self._body),
-                self.parser.should_keep_alive() and not self.parser.should_upgrade(),
-                now_us(),
-            )
+        parser = self._parser
+        assert parser is not None
+        self.receiving, self._in_head = False, True
+        if len(self.waiting) >= MAX_WAITING:
+            self._fault(400, "too many requests at once")
+        keep = parser.should_keep_alive() and not parser.should_upgrade()
+        self.waiting.append(
+            Incoming(parser.get_method(), self._url, self._headers, bytes(self._body), keep, now_us())
         )
 
     # --- one request after another ---
@@ -148,34 +195,49 @@
     def busy(self) -> bool:
         return self.current is not None or self.receiving or bool(self.waiting)
 
-    def _accept(self, incoming: Incoming) -> None:
-        if self.current is not None or self.waiting:
-            self.waiting.append(incoming)
-            self.transport.pause_reading()
-            return
-        self._serve(incoming)
+    def _serve_next(self) -> None:
+        """Serve what waits, once the read that brought it is parsed whole and nothing is in the way."""
+        if self.waiting and self.current is None and not self.stuck and not self.lost:
+            self._serve(self.waiting.pop(0))
+        if self.waiting:
+            self._read(False)
+
+    def _read(self, on: bool) -> None:
+        if not self.transport.is_closing():
+            (self.transport.resume_reading if on else self.transport.pause_reading)()
 
     def _serve(self, incoming: Incoming) -> None:
         self.keep = incoming.keep
         try:
             request = self.server.admit(self, incoming)
         except Rejected as rejected:
-            self.answer(rejected.status, [], f"{rejected}\n".encode())
+            self._reject(rejected)
             return
         except Exception:
             # It has not reached the module, but what was asked for is unclear: no promise is made.
             log.exception("a request could not be read")
             self.answer(500, [], b"")
             return
+        self.known = True
+        self.server.fresh.pop(self, None)
         if request is not None:
             self.current = request
             self.server.host.take(request)
 
+    def _reject(self, fault: Rejected) -> None:
+        self.keep = False
+        self.waiting.clear()
+        self.ended = True
+        headers = [(b"Retry-After", BUSY_WAIT)] if fault.status == 503 else []
+        self.answer(fault.status, headers, f"{fault}\n".encode())
+
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Write an answer; the connection closes after it where the caller, the input or our end asks so."""
         if self.current is not None:
             self.current = None
             self.server.forget(self.request_id)
+        if not self.waiting and not self.receiving:
+            self._let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
         keep = self.keep and (bool(self.waiting) or not self.server.draining)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
@@ -188,17 +250,22 @@
         else:
             self._finish()
 
+    def _let_go(self) -> None:
+        self.server.budget.give_back(self.held)
+        self.held = 0
+
     def _next(self) -> None:
         if self.waiting:
             # Later: the answer may have come from within a call that still works on the last request.
             asyncio.get_running_loop().call_soon(self._resume)
+        elif not self.busy:
+            self.since_us = now_us()
+            self.server.idle[self] = None
 
     def _resume(self) -> None:
-        if self.waiting and self.current is None:
-            incoming = self.waiting.pop(0)
-            if not self.waiting:
-                self.transport.resume_reading()
-            self._serve(incoming)
+        self._serve_next()
+        if not self.waiting and not self.stuck:
+            self._read(True)
 
     def _finish(self) -> None:
         """Close, but for bad input not before the caller has had time to read why.
@@ -208,12 +275,29 @@
         unread = self.ended or self.receiving
         self.ended = True
         self.waiting.clear()
-        if unread and self.transport.can_write_eof():
+        self._body = bytearray()
+        self._let_go()
+        if unread and self.transport.can_write_eof() and not self.transport.is_closing():
+            self.since_us = now_us()
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
+            self._read(True)
         else:
             self.transport.close()
 
+    def check(self, now: int) -> None:
+        """Close a caller that keeps its descriptor and asks for nothing."""
+        quiet_s = (now - self.since_us) / 1e6
+        if self.current is not None or self.waiting:
+            return
+        if self.ended:
+            if quiet_s > LINGER_S:
+                self.transport.abort()  # unlike `close` it does not wait for a caller that reads nothing
+        elif self.receiving:
+            if quiet_s > READ_S:
+                self.stop(Rejected(408, "the request did not come whole"))
+        elif quiet_s > (IDLE_S if self.known and not self.stuck else READ_S):
+            self.transport.abort()
+
 
 class Server:
     """All callers' connections."""
@@ -221,7 +305,10 @@
     def __init__(self, host: Host, most: int) -> None:
         self.host = host
         self.most = most  # connections that callers may have open
-        self.callers: dict[CallerConnection, None] = {}  # the longest connected first
+        self.budget = host.budget
+        self.callers: dict[CallerConnection, None] = {}
+        self.fresh: dict[CallerConnection, None] = {}  # those that never made a valid request, oldest first
+        self.idle: dict[CallerConnection, None] = {}  # those between requests, the longest idle first
         self.open_ids: set[bytes] = set()
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
@@ -235,39 +322,46 @@
         )
 
     def joined(self, caller: CallerConnection) -> None:
+        """Take a connection in. Past the bound one is closed, so that no call ever lacks a descriptor.
+
+        First one that never made a valid request, then the one idle longest; where all are at work, the new
+        one, of which nothing has been read.
+        """
         self.callers[caller] = None
-        if len(self.callers) > self.most:
-            for other in self.callers:
-                if not other.busy and other is not caller:
-                    other.transport.close()
-                    break
+        self.fresh[caller] = None
+        if len(self.callers) <= self.most:
+            return
+        victim = next(iter(self.fresh))
+        if victim is caller and self.idle:
+            longest = next(iter(self.idle))
+            if now_us() - longest.since_us > SPARE_S * 1e6:
+                victim = longest
+        self.left(victim)
+        victim.transport.abort()
 
     def left(self, caller: CallerConnection) -> None:
-        self.callers.pop(caller, None)
+        for group in (self.callers, self.fresh, self.idle):
+            group.pop(caller, None)
 
     def forget(self, request_id: bytes) -> None:
         self.open_ids.discard(request_id)
 
     async def watch_callers(self) -> None:
-        """Guards the descriptors against callers that never finish what they began to send."""
         while True:
-            await asyncio.sleep(READ_CHECK_S)
-            before = now_us() - int(READ_S * 1e6)
+            await asyncio.sleep(CHECK_S)
+            now = now_us()
             for caller in list(self.callers):
-                if caller.receiving and not caller.ended and caller.began_us < before:
-                    caller.stop(Rejected(408, "the request did not come whole"))
+                caller.check(now)
 
     def close_idle(self) -> None:
         for caller in list(self.callers):
-            if not caller.busy:
+            if not caller.busy and not caller.ended:
                 caller.transport.close()
 
     # --- reading a request ---
 
     def admit(self, caller: CallerConnection, incoming: Incoming) -> Request | None:
         """The request to take, or None where it is answered already."""
-        if incoming.fault is not None:
-            raise incoming.fault
         path = incoming.url.partition(b"?")[0]
         if path == b"/up":
             self._up(caller, incoming)
@@ -275,10 +369,6 @@
         grade = self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
         if grade is None:
             raise Rejected(404, "no such class")
-        if len(self.callers) > self.most:
-            caller.keep = False
-            caller.answer(503, [(b"Retry-After", BUSY_WAIT)], b"")  # harmless: it was sent nowhere
-            return None
         return self._request(caller, incoming, grade)
 
     def _up(self, caller: CallerConnection, incoming: Incoming) -> None:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -15,12 +15,15 @@
 import httptools
 
 from eiderhub.interface import Outcome
+from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import Alarm, now_us
 
 IDLE_SHARE = 0.85  # of the time after which endpoints close idle connections, how long we keep them
 IDLE_US = 5_000_000  # that time, where it is not told
-SWEEP_S = 0.25  # how often idle connections are looked at
-MAX_RESPONSE = 1 << 20  # bytes of a body: far more than the protocol allows is no answer
+SWEEP_S = 0.25  # how often idle connections, and answers that have begun, are looked at
+MAX_BODY = 64 * 1024  # bytes: more than the protocol allows is no answer
+MAX_HEAD = 16 * 1024  # bytes of a head, with all interim answers before it
+STALL_US = 1_000_000  # an answer that has begun is written in one go: one that stops for so long never ends
 
 # Headers that belong to one connection, and not to the message: RFC 9110, 7.6.1.
 HOP_BY_HOP = frozenset(
@@ -49,24 +52,35 @@
 
 
 class Connection(asyncio.Protocol):
-    """One HTTP/1.1 connection that we opened; it carries one exchange at a time."""
+    """One HTTP/1.1 connection that we opened; it carries one exchange at a time.
 
-    def __init__(self, owner: Owner) -> None:
+    What comes from an endpoint is believed only as far as it is one whole answer with one stated length. All
+    else ends the exchange at once, and the connection with it: nobody can tell what its next bytes belong to.
+    """
+
+    def __init__(self, owner: Owner, budget: Budget, max_body: int = MAX_BODY) -> None:
         self.owner = owner
+        self.budget = budget
+        self.max_body = max_body
         self.attempt: Attempt | None = None
         self.busy = False
         self.written = False  # whether the last byte of the request has left for the kernel
         self.lost = False
         self.idle_since = 0
-        self._parser = httptools.HttpResponseParser(self)
+        self.heard_us = 0  # when the last bytes of an answer that is not whole came; 0: none has begun
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._body = bytearray()
         self._reset()
 
     def _reset(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self.budget.give_back(len(self._body))
+        self._body = bytearray()
+        self._in_head = True
+        self._head_size = 0
         self._keep = False
         self._response: Response | None = None
+        self.heard_us = 0
 
     # --- the socket ---
 
@@ -105,25 +119,39 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
+        self._reset()
         if not self.lost:
             self.lost = True
             self.owner.on_lost(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.lost:
+        if self.lost or self._parser is None:
             return
         if not self.busy:  # nobody asked
-            self._fail()
+            self.fail()
             return
+        in_head = self._in_head
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail()
-            return
+            # Behind a whole answer there may be more than belongs to it, a second copy or noise: the answer
+            # stands, for its one stated length has come, and the connection is of no further use.
+            if self._response is None:
+                self.fail()
+                return
+            self._keep = False
         if self._response is not None:
             self._complete(self._response)
-
-    def _fail(self) -> None:
+            return
+        self.heard_us = now_us()
+        # Guards against a head that never ends, or interim answers without end.
+        self._head_size += len(data) if in_head else 0
+        if in_head and self._in_head and self._head_size > MAX_HEAD:
+            self.fail()
+
+    def fail(self) -> None:
+        """End the exchange, and the connection, for what came or did not come on it."""
         self.close()
         self.owner.on_lost(self)
 
@@ -137,25 +165,44 @@
 
     # --- the parser's calls ---
 
+    def on_message_begin(self) -> None:
+        if self._response is not None:
+            raise ValueError("a second answer to one request")
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
+        if self._in_head:  # what comes behind a chunked body is no part of the head
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        if self._parser is None or self._parser.get_status_code() < 200:
+            return
+        self._in_head = False
+        length = -1
+        for name, value in self._headers:
+            key = name.lower()
+            if key == b"content-length":
+                length = int(value)  # digits, and given once: the parser has seen to that
+            elif key == b"transfer-encoding" and value.lower() == b"chunked":
+                length = 0
+        # With no length the end of the connection would end the answer: a cut would look whole.
+        if length < 0 or length > self.max_body:
+            raise ValueError("no length, or too long")
 
     def on_body(self, body: bytes) -> None:
-        self._size += len(body)
-        if self._size > MAX_RESPONSE:
+        if len(self._body) + len(body) > self.max_body or not self.budget.take(len(body)):
             raise ValueError("the body is too long")
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status < 200:  # an interim answer
-            self._headers, self._body, self._size = [], [], 0
+        parser = self._parser
+        if parser is None:
+            return
+        if parser.get_status_code() < 200:  # an interim answer
+            self._headers = []
             return
-        if self._response is not None:
-            raise ValueError("two answers to one request")
         # Only here does the parser know: once it has left this message, it speaks for the next.
-        self._keep = self._parser.should_keep_alive()
-        self._response = Response(status, self._headers, b"".join(self._body))
+        self._keep = parser.should_keep_alive()
+        self._response = Response(parser.get_status_code(), self._headers, bytes(self._body))
 
 
 class Attempt:
@@ -185,6 +232,7 @@
         self.over = True
         if self.alarm is not None:
             self.alarm.cancel()
+            self.alarm = None  # it points back here
         self.on_end(self, outcome, response)
 
     def drop(self, outcome: Outcome) -> None:
@@ -227,6 +275,7 @@
 
     def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
         attempt, connection.attempt = connection.attempt, None
+        self.upstream.active.pop(connection, None)
         if reusable:
             self.rest(connection)
         else:
@@ -237,6 +286,7 @@
 
     def on_lost(self, connection: Connection) -> None:
         self.upstream.open -= 1
+        self.upstream.active.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
         attempt, connection.attempt = connection.attempt, None
@@ -268,21 +318,29 @@
 class Upstream:
     """All pools, and the bound on their connections together."""
 
-    def __init__(self, idle_us: int, connect_timeout_us: int, most: int) -> None:
+    def __init__(self, idle_us: int, connect_timeout_us: int, most: int, budget: Budget) -> None:
         self.keep_us = int(IDLE_SHARE * (idle_us or IDLE_US))
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.most = most
         self.open = 0  # connections that are up or coming up
-        self.pools: dict[str, Pool] = {}
+        self.budget = budget
+        self.pools: dict[str, Pool] = {}  # of the endpoints that are ready, and no others
+        self.active: dict[Connection, None] = {}  # with an attempt out on them
         self._connecting: set[asyncio.Task[None]] = set()
 
     async def sweep(self) -> None:
-        """Close idle connections well before their endpoints do: one that crosses a request resets it."""
+        """Close idle connections well before their endpoints do: one that crosses a request resets it.
+
+        And those with an answer that has stopped half way: its machine is gone, or its length is wrong.
+        """
         while True:
             await asyncio.sleep(SWEEP_S)
-            before = now_us() - self.keep_us
+            now = now_us()
             for pool in self.pools.values():
-                pool.close_idle(before)
+                pool.close_idle(now - self.keep_us)
+            for connection in list(self.active):
+                if 0 < connection.heard_us < now - STALL_US:
+                    connection.fail()
 
     def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
         """An endpoint that is ready; where its address is another, or its process, old connections go."""
@@ -293,11 +351,13 @@
         if (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
             pool.close_idle()
             pool.host, pool.port, pool.launched_us = host, port, launched_us
-        pool.ready = True
 
     def retire(self, endpoint: str) -> None:
-        """An endpoint that drains or is gone: what it has may end, nothing new begins."""
-        pool = self.pools.get(endpoint)
+        """An endpoint that drains or is gone: what it has may end, nothing new begins.
+
+        Its pool is forgotten here, or ids that are ever new would add up; what is out still knows it.
+        """
+        pool = self.pools.pop(endpoint, None)
         if pool is not None:
             pool.ready = False
             pool.close_idle()
@@ -311,7 +371,7 @@
         """Begin an attempt. It never ends within this call: the module is still at work above it."""
         pool = self.pools.get(attempt.endpoint)
         loop = asyncio.get_running_loop()
-        if pool is None or not pool.ready:
+        if pool is None:
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
             return
         connection = pool.take()
@@ -337,7 +397,7 @@
         return True
 
     async def _connect(self, attempt: Attempt, pool: Pool) -> None:
-        connection = Connection(pool)
+        connection = Connection(pool, self.budget)
         try:
             # A machine that has vanished says nothing: a connection that does not come up has to be given up.
             async with asyncio.timeout(self.connect_timeout_s):
@@ -364,4 +424,5 @@
             return
         connection.attempt = attempt
         attempt.connection = connection
+        self.active[connection] = None
         connection.send(data)
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from eiderhub.settings import settings_from
+from eiderhub.sidecar.bounds import Bounds
 from eiderhub.sidecar.config import Address, Config
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
@@ -200,10 +201,16 @@
 class Sidecar:
     """Host and server, on port 0, with fakes behind them."""
 
-    def __init__(self, endpoints: int = 1, sockets: int = 1024, callers: int = 500, **settings: Any) -> None:
+    def __init__(
+        self,
+        endpoints: int = 1,
+        callers: int = 500,
+        upstream: int = 400,
+        held: int = 1 << 24,
+        **settings: Any,
+    ) -> None:
         self.count = endpoints
-        self.callers = callers
-        self.sockets = sockets
+        self.bounds = Bounds(callers, upstream, held)
         self.setup = {**SETUP, **settings}
 
     async def __aenter__(self) -> Sidecar:
@@ -216,13 +223,14 @@
             listen=Address("127.0.0.1", 0),
             discovery=Address(host, int(port)),
             seed=7,
-            sockets=self.sockets,
+            bounds=self.bounds,
             known=read_listing(json.loads(listing(1, True, *rows))),
             settings=settings_from(self.setup),
         )
         self.host = Host(self.config)
         self.sweep = asyncio.create_task(self.host.upstream.sweep())
-        self.server = Server(self.host, self.callers)
+        self.server = Server(self.host, self.bounds.callers)
+        self.watch = asyncio.create_task(self.server.watch_callers())
         await self.server.bind("127.0.0.1", 0)
         self.host.start()
         await self.server.listener.start_serving()
@@ -232,6 +240,7 @@
     async def __aexit__(self, *_: object) -> None:
         self.host.tail(False)
         self.sweep.cancel()
+        self.watch.cancel()
         self.server.listener.close()
         for fake in (self.discovery, *self.endpoints):
             fake.server.close()
@@ -252,3 +261,24 @@
         stderr=subprocess.PIPE,
         text=True,
     )
+
+
+async def one_attempt(sidecar: Sidecar, grade: str = "pay") -> tuple[Asked, Client]:
+    """Send one request and return the endpoint's side of it, wherever it went, and the client."""
+    client = await sidecar.client()
+    client.send(grade)
+    return await first_asked(sidecar), client
+
+
+async def first_asked(sidecar: Sidecar) -> Asked:
+    """The next request that any endpoint gets."""
+    waits = [asyncio.create_task(fake.next()) for fake in sidecar.endpoints]
+    done, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    return done.pop().result()
+
+
+async def ready(client: Client) -> int:
+    client.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+    return (await client.answer()).status
