--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -19,6 +19,7 @@
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
+SERVE_SHARE = 0.55  # of that time, how long kept connections are served: the rest is for what is open then
 FLUSH_S = 0.1  # for the last bytes to leave
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
@@ -57,14 +58,20 @@
 
 
 async def drain(server: Server, host: Host) -> None:
-    """Answer all that was taken, in time for SIGKILL, while callers are sent elsewhere."""
-    end = min(LONGEST_S, max(c.deadline_us for c in host.settings.classes) / 1e6) + AFTER_LONGEST_S
-    end_us = now_us() + int(end * 1e6)
+    """Answer all that was taken, in time for SIGKILL, while new callers are sent elsewhere.
+
+    Callers use the connections that they have for as long as these stay open, so those are served on for a
+    while. Closing them at once would send a whole sidecar's load to its neighbours in one moment, and to
+    nobody where the neighbour is about to come back from a restart of its own.
+    """
+    end = min(LONGEST_S, server.longest_s) + AFTER_LONGEST_S
+    begun_us = now_us()
     server.draining = True
-    server.close_idle()
     await asyncio.sleep(ACCEPT_S)
     server.listener.close()
-    while server.callers and now_us() < end_us:
+    await asyncio.sleep(SERVE_SHARE * end - ACCEPT_S)
+    server.leaving = True
+    while server.callers and now_us() < begun_us + int(end * 1e6):
         server.close_idle()
         await asyncio.sleep(0.01)
     host.fail_all()
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from http import HTTPStatus
 from typing import NamedTuple, cast
 
@@ -19,10 +20,10 @@
 HEADER_COST = 32  # bytes that each header counts beside its own: tiny ones fill the memory with objects
 MAX_WAITING = 4  # requests of one caller that wait for the answer before: callers send one at a time
 MAX_DEADLINE_MS = 3_600_000
-READ_S = 2.0  # for a caller's first request, and for each later one from its first byte: 3 s are allowed
-IDLE_S = 15.0  # between requests, so that callers that never come back do not add up
+FIRST_S = 2.6  # from connecting to a first whole request: an error or a close is due within 3 s
+IDLE_S = 5.0  # between requests, so that callers that never come back do not add up
 SPARE_S = 2.0  # a connection idle for so long may be closed to make room for a new one
-CHECK_S = 0.25
+CHECK_S = 0.1
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
 BUSY_WAIT = b"1"  # Retry-After where no memory is left
@@ -239,7 +240,7 @@
         if not self.waiting and not self.receiving:
             self._let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
-        keep = self.keep and (bool(self.waiting) or not self.server.draining)
+        keep = self.keep and (bool(self.waiting) or not self.server.leaving)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
@@ -293,11 +294,18 @@
             if quiet_s > LINGER_S:
                 self.transport.abort()  # unlike `close` it does not wait for a caller that reads nothing
         elif self.receiving:
-            if quiet_s > READ_S:
+            # One that has asked before may write slowly, but no longer than any answer would be waited for.
+            if quiet_s > (self.server.longest_s if self.known else FIRST_S):
                 self.stop(Rejected(408, "the request did not come whole"))
-        elif quiet_s > (IDLE_S if self.known and not self.stuck else READ_S):
+        elif quiet_s > (IDLE_S if self.known else FIRST_S) and (self.stuck or not self.unread()):
             self.transport.abort()
 
+    def unread(self) -> bool:
+        """Whether input waits in the kernel: closing now would cross a request, and that would fail."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
 
 class Server:
     """All callers' connections."""
@@ -310,9 +318,11 @@
         self.fresh: dict[CallerConnection, None] = {}  # those that never made a valid request, oldest first
         self.idle: dict[CallerConnection, None] = {}  # those between requests, the longest idle first
         self.open_ids: set[bytes] = set()
+        self.longest_s = max(c.deadline_us for c in host.settings.classes) / 1e6
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
-        self.draining = False
+        self.draining = False  # no more callers are wanted
+        self.leaving = False  # nor those that are here
 
     async def bind(self, host: str, port: int) -> None:
         """Take the address; connections wait until the module has started."""
@@ -324,20 +334,26 @@
     def joined(self, caller: CallerConnection) -> None:
         """Take a connection in. Past the bound one is closed, so that no call ever lacks a descriptor.
 
-        First one that never made a valid request, then the one idle longest; where all are at work, the new
-        one, of which nothing has been read.
+        First one that never said anything of use, then the one idle longest, then one that is still writing
+        its first request; where all are at work, the new one, of which nothing has been read.
         """
+        if len(self.callers) >= self.most:
+            victim = self._spare() or caller
+            self.left(victim)
+            victim.transport.abort()
+            if victim is caller:
+                return
         self.callers[caller] = None
         self.fresh[caller] = None
-        if len(self.callers) <= self.most:
-            return
-        victim = next(iter(self.fresh))
-        if victim is caller and self.idle:
-            longest = next(iter(self.idle))
-            if now_us() - longest.since_us > SPARE_S * 1e6:
-                victim = longest
-        self.left(victim)
-        victim.transport.abort()
+
+    def _spare(self) -> CallerConnection | None:
+        for caller in self.fresh:
+            if not caller.receiving:
+                return caller
+        longest = next(iter(self.idle), None)
+        if longest is not None and now_us() - longest.since_us > SPARE_S * 1e6:
+            return longest
+        return next(iter(self.fresh), None)
 
     def left(self, caller: CallerConnection) -> None:
         for group in (self.callers, self.fresh, self.idle):
