--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -19,7 +19,7 @@
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
-SERVE_SHARE = 0.55  # of that time, how long kept connections are served: the rest is for what is open then
+SERVE_SHARE = 0.75  # of that time, how long kept connections are served: the rest is for what is open then
 FLUSH_S = 0.1  # for the last bytes to leave
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
