Give a last answer time to leave; spare a request that crosses a close; one way to start the program in tests

Seen on rereading: check() counted a closing caller from its request, so a last answer could be cut off while it left; close_idle() could cross a request that waits in the kernel; an evicted caller could still be read from.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -278,8 +278,8 @@
         self.waiting.clear()
         self._body = bytearray()
         self._let_go()
+        self.since_us = now_us()  # `check` counts from here: what was just written must have time to leave
         if unread and self.transport.can_write_eof() and not self.transport.is_closing():
-            self.since_us = now_us()
             self.transport.write_eof()
             self._read(True)
         else:
@@ -340,6 +340,7 @@
         if len(self.callers) >= self.most:
             victim = self._spare() or caller
             self.left(victim)
+            victim.ended = True
             victim.transport.abort()
             if victim is caller:
                 return
@@ -371,7 +372,7 @@
 
     def close_idle(self) -> None:
         for caller in list(self.callers):
-            if not caller.busy and not caller.ended:
+            if not caller.busy and not caller.ended and not caller.unread():
                 caller.transport.close()
 
     # --- reading a request ---
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import select
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
@@ -32,7 +31,6 @@
         b"upgrade", b"content-length", b"expect",
     )
 )  # fmt: skip
-log = logging.getLogger(__name__)
 
 
 class Response(NamedTuple):
@@ -383,7 +381,6 @@
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
         else:
-            log.warning("no descriptor is left for a connection to an endpoint")
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
 
     def _make_room(self) -> bool:
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
+import socket
 import subprocess
 import sys
-from collections.abc import Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -282,3 +284,42 @@
 async def ready(client: Client) -> int:
     client.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
     return (await client.answer()).status
+
+
+class Program:
+    """The program in service as a process of its own, with one fake endpoint."""
+
+    def __init__(self, process: subprocess.Popen[str], endpoint: Fake, address: tuple[str, int]) -> None:
+        self.process = process
+        self.endpoint = endpoint
+        self.address = address
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(*self.address))
+
+    async def line_with(self, text: str) -> None:
+        """Read its log up to a line with this text."""
+        assert self.process.stderr is not None
+        while text not in (line := await asyncio.to_thread(self.process.stderr.readline)):
+            assert line, "the log has ended"
+
+
+@contextlib.asynccontextmanager
+async def program(tmp_path: Path, changes: dict[str, Any], **variables: str) -> AsyncIterator[Program]:
+    endpoint = await Fake().start()
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+    document = {
+        "listen": f"127.0.0.1:{address[1]}",
+        "settings": SETUP,
+        "known": json.loads(listing(1, True, row("s-0", endpoint.address))),
+        **changes,
+    }
+    process = started(tmp_path, document, **variables)
+    try:
+        running = Program(process, endpoint, address)
+        await running.line_with("serves on")
+        yield running
+    finally:
+        process.kill()
+        process.communicate()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import contextlib
+import os
 import time
+from pathlib import Path
 
 import pytest
 
 from eiderhub.sidecar import server
-from tests.sidecar_support import (
-    Sidecar,
-    ready,
-    run,
-)
+from eiderhub.sidecar.clock import now_us
+from tests.sidecar_support import Sidecar, program, ready, run
 
 
 def test_client_gone_stops_the_attempt() -> None:
@@ -301,3 +300,44 @@
             assert (await first.answer()).status == 200
 
     run(test())
+
+
+def test_flood_of_connections_leaves_descriptors_for_all_else(tmp_path: Path) -> None:
+    """Past its limit the process could neither accept nor reach an endpoint."""
+    sockets = 64
+
+    async def test() -> None:
+        async with program(tmp_path, {"limits": {"sockets": sockets, "memory_mb": 64}}) as running:
+            most = 0
+            silent = []
+            for _ in range(2 * sockets):
+                silent.append(await running.client())
+                most = max(most, len(os.listdir(f"/proc/{running.process.pid}/fd")))
+            client = await running.client()
+            client.send()
+            (await running.endpoint.next()).reply()
+            assert (await client.answer()).status == 200
+            assert sockets / 2 < most <= sockets
+
+    run(test())
+
+
+def test_answer_that_closes_has_time_to_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The caller's clock still stood at its request: its last answer could be cut off while it left."""
+
+    async def test() -> None:
+        monkeypatch.setattr(server, "CHECK_S", 0.01)
+        monkeypatch.setattr(server, "LINGER_S", 0.5)
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(Connection="close")
+            asked = await sidecar.endpoints[0].next()
+            (caller,) = sidecar.server.callers
+            caller.since_us -= 60_000_000
+            asked.reply(200, b"x" * 60_000)
+            answer = await client.answer()
+            assert len(answer.body) == 60_000
+            assert now_us() - caller.since_us < 10_000_000
+            assert await client.reader.read() == b""
+
+    run(test())
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
 import signal
-import socket
-import subprocess
 from pathlib import Path
 
 import pytest
 
-from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run, started
+from tests.sidecar_support import Fake, Sidecar, listing, program, row, run
 
 
 def test_watch_moves_and_takes_the_whole_list_of_the_new_address() -> None:
@@ -73,47 +69,28 @@
     run(test())
 
 
-async def line_with(process: subprocess.Popen[str], text: str) -> str:
-    assert process.stderr is not None
-    while text not in (line := await asyncio.to_thread(process.stderr.readline)):
-        assert line, "the log has ended"
-    return line
-
-
 @pytest.mark.parametrize("bad", ["", "[]", '{"discovery": 7}'])
 def test_sighup_reads_the_file_again_and_a_bad_one_changes_nothing(tmp_path: Path, bad: str) -> None:
     """Seen: SIGHUP had no handler and ended the process. The file's address wins over the variable's."""
 
     async def test() -> None:
-        first, second, endpoint = [await Fake().start() for _ in range(3)]
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = free.getsockname()
-        document = {
-            "listen": f"127.0.0.1:{address[1]}",
-            "settings": SETUP,
-            "known": json.loads(listing(1, True, row("s-0", endpoint.address))),
-            "discovery": first.address,
-        }
-        process = started(tmp_path, document, GW_DISCOVERY=first.address)
-        file = tmp_path / "config.json"
-        try:
-            await line_with(process, "serves on")
+        first, second = [await Fake().start() for _ in range(2)]
+        told = {"discovery": first.address}
+        async with program(tmp_path, told, GW_DISCOVERY=first.address) as running:
+            file = tmp_path / "config.json"
             await first.next()
-            client = Client(*await asyncio.open_connection(*address))
+            client = await running.client()
             client.send()
-            asked = await endpoint.next()
+            asked = await running.endpoint.next()
             good = file.read_text(encoding="utf-8")
             file.write_text(bad, encoding="utf-8")
-            process.send_signal(signal.SIGHUP)
-            await line_with(process, "the configuration is not taken")
+            running.process.send_signal(signal.SIGHUP)
+            await running.line_with("the configuration is not taken")
             assert first.ends.empty()
             file.write_text(good.replace(first.address, second.address), encoding="utf-8")
-            process.send_signal(signal.SIGHUP)
+            running.process.send_signal(signal.SIGHUP)
             await second.next()
             asked.reply()
             assert (await client.answer()).status == 200
-        finally:
-            process.kill()
-            process.communicate()
 
     run(test())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,17 +14,17 @@
 import pytest
 
 from eiderhub.interface import ListForm, Readiness
-from eiderhub.sidecar import __main__ as program
+from eiderhub.sidecar import __main__ as entry
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
 from tests.sidecar_support import (
     SETUP,
-    Client,
     Fake,
     Sidecar,
     listing,
+    program,
     ready,
     row,
     run,
@@ -309,9 +309,9 @@
 
 def test_lag_of_the_loop_is_logged(monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
-        monkeypatch.setattr(program, "LAG_EVERY_S", 0.01)
-        monkeypatch.setattr(program, "LAG_LOG_S", 0.02)
-        watch = asyncio.create_task(program.watch_lag())
+        monkeypatch.setattr(entry, "LAG_EVERY_S", 0.01)
+        monkeypatch.setattr(entry, "LAG_LOG_S", 0.02)
+        watch = asyncio.create_task(entry.watch_lag())
         await asyncio.sleep(0)
         time.sleep(0.1)  # what a slow handler does to all requests
         while not caplog.records:
@@ -323,10 +323,10 @@
 
 
 def test_log_lets_few_lines_through_each_second() -> None:
-    sparse = program.Sparse()
+    sparse = entry.Sparse()
     records = [logging.makeLogRecord({"created": 7.0 + i / 1000}) for i in range(1001)]
     passed = [record for record in records if sparse.filter(record)]
-    assert len(passed) == program.LINES_PER_S + 1  # the last record is of the next second
+    assert len(passed) == entry.LINES_PER_S + 1  # the last record is of the next second
     assert passed[-1] is records[-1]
 
 
@@ -365,26 +365,18 @@
     """Seen: kept connections were closed at once, while the neighbour was still out for its own restart."""
 
     async def test() -> None:
-        fake = await Fake().start()
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = free.getsockname()
-        known = json.loads(listing(1, True, row("s-0", fake.address)))
-        process = started(tmp_path, {"listen": f"127.0.0.1:{address[1]}", "settings": SETUP, "known": known})
-        try:
-            assert process.stderr is not None
-            while "serves on" not in await asyncio.to_thread(process.stderr.readline):
-                pass
-            kept, busy = [Client(*await asyncio.open_connection(*address)) for _ in range(2)]
+        async with program(tmp_path, {}) as running:
+            kept, busy = await running.client(), await running.client()
             assert await ready(kept) == 200
             busy.send(deadline_ms=30_000)
-            asked = await fake.next()
-            process.send_signal(signal.SIGTERM)
+            asked = await running.endpoint.next()
+            running.process.send_signal(signal.SIGTERM)
             while await ready(kept) == 200:
                 pass
-            late = Client(*await asyncio.open_connection(*address))
+            late = await running.client()
             for client in (kept, late):
                 client.send()
-                (await fake.next()).reply()
+                (await running.endpoint.next()).reply()
                 answer = await client.answer()
                 assert answer.status == 200
                 assert "connection" not in answer.headers
@@ -392,9 +384,6 @@
             asked.reply()
             answer = await busy.answer()
             assert (answer.status, answer.headers["connection"]) == (200, "close")
-            assert await asyncio.to_thread(process.wait) == 0
-        finally:
-            process.kill()
-            process.communicate()
+            assert await asyncio.to_thread(running.process.wait) == 0
 
     run(test())
