--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -74,7 +74,6 @@
 ROUND_SAMPLES = 8  # outcomes that make a round: the cap moves once a round
 ROUND_PER_CALL = 1.5  # and so many more for each call of the cap
 GROW_SHARE = 0.1  # growth in a good round, as a share of the cap
-START_GROW_SHARE = 0.3  # and before the first bad round: a start that is too careful refuses what has room
 GROW_CALLS = 0.3  # and at least this many calls
 DEEPEST_CUT = 0.6  # a bad round leaves at least this share of the cap
 FULL_COUNTS = 1.0  # an endpoint that turns a call away counts as a call that took this share of its aim
@@ -354,8 +353,7 @@
             self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
             self.changed = now
         elif self.bound:
-            share = GROW_SHARE if self.changed else START_GROW_SHARE
-            self.cap += max(GROW_CALLS, share * self.cap)
+            self.cap += max(GROW_CALLS, GROW_SHARE * self.cap)
         self.round, self.bound = Histogram(), False
 
 
