--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -99,6 +99,7 @@
 FLEET_WEIGHT = 0.02  # and in the failure share of all
 EJECT_FAILING = 0.45  # failure share at which an endpoint is ejected: two failures in a row pass it
 EJECT_VERSUS_PEERS = 0.5  # and this share of all endpoints' failure share more: shared trouble ejects nobody
+LEAVING_DECLINES = 3  # calls turned away in a row by which an endpoint is taken to be leaving, not busy
 MAX_EJECTED = 0.5  # share of the known endpoints, in all zones, that may be out at once
 EJECT_US = 3_000_000  # first ejection; each further one doubles it
 EJECT_MAX_US = 24_000_000  # up to this
@@ -410,7 +411,7 @@
     """What this instance knows of one endpoint: its listing, own calls, health and slow start."""
 
     __slots__ = (
-        "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
+        "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
         "in_flight", "kind", "launched", "order", "ready", "slow", "used", "weight", "zone",
     )  # fmt: skip
 
@@ -421,6 +422,7 @@
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
         self.failed_at = 0
+        self.declines = 0  # calls turned away in a row
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
         self.credit_at = 0
         self.used = 0  # when a connection to it was last in use; 0: never
@@ -1029,6 +1031,12 @@
             return
         ok = outcome is Outcome.OK
         share = spent / call.grade.aim_us
+        # Danger: one that drains turns calls away at once, seconds before the list tells of it. With little
+        # in flight it draws most of the sends, and each would count as crowding and cut the cap.
+        e.declines = e.declines + 1 if outcome is Outcome.FULL else 0
+        leaving = e.declines >= LEAVING_DECLINES
+        if leaving and not e.in_flight:
+            self._eject(now, e, "turns calls away")
         if outcome is not Outcome.FULL:  # a full endpoint is busy, not ill
             failed = 0.0 if ok else 1.0
             self.fleet_failing += FLEET_WEIGHT * (failed - self.fleet_failing)
@@ -1048,13 +1056,17 @@
         if not outlier:  # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
             if ok or outcome is Outcome.TIMEOUT:
                 self.ratio.record(now, share)
-            if ok or outcome is Outcome.TIMEOUT or outcome is Outcome.FULL:
+            if ok or outcome is Outcome.TIMEOUT or (outcome is Outcome.FULL and not leaving):
                 pool.limit.learn(now, sent, FULL_COUNTS if outcome is Outcome.FULL else share)
         self.buckets.bill(call.bucket, call.price, call.paid, spent, ok)
 
     def _consider_ejecting(self, now: int, e: EndpointState) -> None:
         # Endpoints that are down for sure raise the share of all: a multiple of that could never be reached.
-        if now < e.ejected_until or e.failing < EJECT_FAILING + EJECT_VERSUS_PEERS * self.fleet_failing:
+        if e.failing >= EJECT_FAILING + EJECT_VERSUS_PEERS * self.fleet_failing:
+            self._eject(now, e, "fails")
+
+    def _eject(self, now: int, e: EndpointState, why: str) -> None:
+        if now < e.ejected_until:
             return
         self.ejected = [o for o in self.ejected if now < o.ejected_until]
         if len(self.ejected) + 1 > MAX_EJECTED * self.ready:
@@ -1064,7 +1076,7 @@
         wait = min(EJECT_US * 2 ** (e.ejections - 1), EJECT_MAX_US)
         e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
         e.failing = 0.0
-        self.actions.write_log(f"endpoint {e.id} ejected for {(e.ejected_until - now) / 1e6:.1f} s: it fails")
+        self.actions.write_log(f"endpoint {e.id} ejected for {(e.ejected_until - now) / 1e6:.1f} s: it {why}")
 
     def _again(self, now: int, call: Call, outcome: Outcome) -> None:
         """All attempts ended without an answer: send another where that is legal and wise, or give up."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -142,6 +142,25 @@
     assert sum(e in down for e in late) < 20
 
 
+def test_endpoint_that_turns_calls_away_draws_few_and_does_not_cut_the_cap() -> None:
+    """Found in an incident: one that drained took most of the sends and was counted as crowding."""
+    host = Host(settings(balancers=1), endpoints(4))
+    cap = host.balancer.placements[0].local.limit.cap
+    leaving = endpoints(1)[0].id
+    for _ in range(200):
+        call = host.order("pay")
+        while host.sent[call][-1] == leaving and not host.answers(call):
+            host.reply(call, Outcome.FULL, spent=1 * MS)
+            if host.sent[call][-1] == leaving:
+                break
+        if not host.answers(call) and host.sent[call][-1] != leaving:
+            host.reply(call, Outcome.OK)
+        host.advance(10 * MS)
+    late = [d[2] for d in host.sends()[-150:]]
+    assert late.count(leaving) < 10
+    assert host.balancer.placements[0].local.limit.cap >= cap
+
+
 def test_trouble_that_all_share_leaves_most_endpoints_in_use() -> None:
     host = Host(settings(balancers=1), endpoints(12))
     for _ in range(600):
