--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -855,12 +855,13 @@
         worth = self.worth[call.level]
         barren = True  # whether this zone has no endpoint that could take the call, however long it waits
         placement = self.placement[call.grade.name]
+        share = 1.0 if worth >= LOW_WORTH else LOW_TIER_SHARE
         for pool in placement.pools:
             if not pool.subset.members:
                 continue
             limit = pool.limit
-            share = 1.0 if worth >= LOW_WORTH else LOW_TIER_SHARE
-            if limit.full(now, share * limit.room(self.scarcity), self.random):
+            room = share * self._in_use(now, pool) * limit.room(self.scarcity)
+            if limit.full(now, room, self.random):
                 barren = False
                 continue
             if pool is placement.remote and not barren and not self._worth_crossing(now, call):
@@ -932,6 +933,17 @@
                 part *= RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
         return part
 
+    def _in_use(self, now: int, pool: Pool) -> float:
+        """The part of a pool's endpoints that is not ejected: as much of its cap is open.
+
+        Danger: a cap learned with all endpoints falls on the few left and jams those in turn. Covers whatever
+        ejects. Could hurt where sound endpoints are ejected while the rest have capacity to spare.
+        """
+        if not self.ejected:
+            return 1.0
+        members = pool.subset.members
+        return sum(now >= e.ejected_until for e in members) / len(members)
+
     def _warmth(self, now: int, e: EndpointState) -> float:
         """The least part of its capacity that the endpoint has, by its stated start."""
         rules = self.settings.rules
