--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -59,7 +59,8 @@
 SCARCE = 0.2  # past this share room is scarce, however normal the ratio has come to look
 
 # --- concurrency ---
-START_CALLS = 6.0  # in-flight calls an endpoint is taken to bear, from all copies together, before we learn
+START_CALLS = 7.0  # in-flight calls an endpoint is taken to bear, from all copies together, before we learn
+SURE_STARTS = 2.0  # times that, the cap grows only by what was seen at the cap itself
 FLOOR_CALLS = 2.0  # and in any trouble: a floor that is too low starves sound endpoints once trouble is over
 REMOTE_PART = 0.25  # part of that granted in other zones, whose own callers come first
 MIN_CAP = 0.1  # calls; the sum over many copies must still be small
@@ -70,7 +71,7 @@
 TARGET_LEAST_RISE = 1.3  # and the least rise, where the uncrowded median takes much of the aim already
 TARGET_SHARE = 0.3  # nor may the median pass this share of the aim, divided by layer + 1
 BASE_WEIGHT = 0.3  # weight of the newest round in the median that the uncrowded median is taken from
-BASE_DRIFT = 1.01  # rise of the uncrowded median with each round, so that it can follow a lasting change
+BASE_DRIFT = 1.01  # rise of the uncrowded median with each uncrowded round: it can follow a lasting change
 ROUND_SAMPLES = 8  # outcomes that make a round: the cap moves once a round
 ROUND_PER_CALL = 1.5  # and so many more for each call of the cap
 GROW_SHARE = 0.1  # growth in a good round, as a share of the cap
@@ -78,6 +79,7 @@
 DEEPEST_CUT = 0.6  # a bad round leaves at least this share of the cap
 FULL_COUNTS = 1.0  # an endpoint that turns a call away counts as a call that took this share of its aim
 BINDING = 0.7  # the cap binds when this share of it is in use
+BOUND_PART = 0.5  # part of a round for which it must have done so, once the cap has grown far
 LOW_TIER_SHARE = 0.8  # share of the cap open to the lower tiers, so the rest finds room at once
 LOW_WORTH = 0.5  # tiers worth less than this share of the best class are lower tiers
 
@@ -299,6 +301,8 @@
     def __init__(self, layer: int) -> None:
         self.cap = 0.0  # set when the first list comes
         self.floor = MIN_CAP
+        self.open = 1.0  # the part of the cap whose endpoints are in use
+        self.sure = 0.0  # up to here the cap climbs easily: what endpoints bear on any day
         self.in_flight = 0
         self.dither = 0.0
         self.next_dither = 0
@@ -307,7 +311,7 @@
         self.most = TARGET_SHARE / (layer + 1)
         self.normal = NORMAL_SHARE / (layer + 1)
         self.round = Histogram()
-        self.bound = False  # whether the cap was in the way during this round
+        self.bound = 0  # outcomes of this round that came while the cap was in the way
         self.roots = CHANCE_ROOTS if layer else CHANCE_ROOTS_OUTSIDE
         self.slack = 0.5  # 1 uncrowded, 0 with latencies at their target
         self.changed = 0
@@ -315,6 +319,7 @@
     def size(self, fair: float) -> None:
         """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies."""
         self.floor = max(MIN_CAP, FLOOR_CALLS * fair)
+        self.sure = SURE_STARTS * START_CALLS * fair
         self.cap = max(self.cap or START_CALLS * fair, self.floor)
 
     def room(self, scarcity: float) -> float:
@@ -324,7 +329,8 @@
         would refuse work half done while its endpoints sit idle. As latencies near their target the room
         closes to the cap, and the outermost tier has least: what is too much is to be refused there.
         """
-        return self.cap + self.roots * self.slack * (1.0 - scarcity) * math.sqrt(self.cap)
+        cap = self.open * self.cap
+        return cap + self.roots * self.slack * (1.0 - scarcity) * math.sqrt(cap)
 
     def full(self, now: int, room: float, rng: random.Random) -> bool:
         """Whether the room is taken; while crowded it counts exactly, parts of a call for part of the time.
@@ -341,21 +347,35 @@
         if sent < self.changed:
             return
         self.round.add(share)
-        self.bound = self.bound or self.in_flight >= BINDING * self.cap
-        if self.round.total < ROUND_SAMPLES + ROUND_PER_CALL * self.cap:
+        cap = self.open * self.cap
+        self.bound += self.in_flight >= BINDING * cap
+        if self.round.total < ROUND_SAMPLES + ROUND_PER_CALL * cap:
             return
         median = self.round.above(0.5)
         self.median += (BASE_WEIGHT if self.median else 1.0) * (median - self.median)
+        # Danger: where each round drifts, a busy day is learned as its uncrowded state; the cap climbs with
+        # it for minutes, until a burst jams all endpoints. Covers any lasting overload. Where endpoints slow
+        # down for good, that is learned late: once the cap has fallen to what they surely bear.
+        drift = 1.0 if self.bound and self.cap > self.sure else BASE_DRIFT
         # Guards against a start amid overload: what was always slow is not taken for the uncrowded state.
-        self.base = min(self.base * BASE_DRIFT if self.base else self.normal, self.median)
+        self.base = min(self.base * drift if self.base else self.normal, self.median)
         target = max(TARGET_LEAST_RISE * self.base, min(TARGET_RISE * self.base, self.most))
         self.slack = min(1.0, max(0.0, TARGET_RISE * (1.0 - median / target)))
         if median > target:
             self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
             self.changed = now
-        elif self.bound:
+        elif self._tried():
             self.cap += max(GROW_CALLS, GROW_SHARE * self.cap)
-        self.round, self.bound = Histogram(), False
+        self.round, self.bound = Histogram(), 0
+
+    def _tried(self) -> bool:
+        """Whether this round shows what endpoints bear at the cap, which may grow then.
+
+        Guards against bursts, and against what a few endpoints bear a while in place of others: calls that
+        met a cap far off, or a part of it, say nothing of the whole.
+        """
+        part = BOUND_PART if self.cap > self.sure else 0.0
+        return self.open == 1.0 and self.bound > part * self.round.total
 
 
 class RetryBudget:
@@ -860,8 +880,8 @@
             if not pool.subset.members:
                 continue
             limit = pool.limit
-            room = share * self._in_use(now, pool) * limit.room(self.scarcity)
-            if limit.full(now, room, self.random):
+            limit.open = self._in_use(now, pool)
+            if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
                 continue
             if pool is placement.remote and not barren and not self._worth_crossing(now, call):
@@ -924,17 +944,17 @@
         Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
         so each copy sends it that part of what its warm endpoints get, and so do all copies together.
         """
-        part = warmth
-        if e.ejected_until:
-            if now < e.ejected_until:
-                return 0.0
-            since = now - e.ejected_until
-            if since < RETURN_US:
-                part *= RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
-        return part
+        return warmth * self._returned(now, e)
+
+    def _returned(self, now: int, e: EndpointState) -> float:
+        """The part of its calls that an endpoint may have while it is ejected, and after."""
+        since = now - e.ejected_until
+        if not e.ejected_until or since >= RETURN_US:
+            return 1.0
+        return 0.0 if since < 0 else RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
 
     def _in_use(self, now: int, pool: Pool) -> float:
-        """The part of a pool's endpoints that is not ejected: as much of its cap is open.
+        """The part of a pool's endpoints that is in use, not ejected: as much of its cap is open.
 
         Danger: a cap learned with all endpoints falls on the few left and jams those in turn. Covers whatever
         ejects. Could hurt where sound endpoints are ejected while the rest have capacity to spare.
@@ -942,7 +962,7 @@
         if not self.ejected:
             return 1.0
         members = pool.subset.members
-        return sum(now >= e.ejected_until for e in members) / len(members)
+        return sum(self._returned(now, e) for e in members) / len(members)
 
     def _warmth(self, now: int, e: EndpointState) -> float:
         """The least part of its capacity that the endpoint has, by its stated start."""
@@ -1080,8 +1100,8 @@
     def _eject(self, now: int, e: EndpointState, why: str) -> None:
         if now < e.ejected_until:
             return
-        self.ejected = [o for o in self.ejected if now < o.ejected_until]
-        if len(self.ejected) + 1 > MAX_EJECTED * self.ready:
+        self.ejected = [o for o in self.ejected if o is not e and now < o.ejected_until + RETURN_US]
+        if sum(now < o.ejected_until for o in self.ejected) + 1 > MAX_EJECTED * self.ready:
             return
         self.ejected.append(e)
         e.ejections += 1
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -86,3 +86,24 @@
             assert cap / 3 < await reached(sidecar, queue, 40) < 2 * cap / 3
 
     run(test())
+
+
+def test_crowding_is_not_learned_as_the_uncrowded_state(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found on a long day: the cap climbed from 12 to 76 in three minutes, and a burst then jammed all."""
+
+    async def test() -> None:
+        clock = Clock(monkeypatch)
+        async with Sidecar() as sidecar:
+            queue = arrivals(sidecar)
+            limit = sidecar.host.balancer.placements[0].local.limit
+            clients = [await sidecar.client() for _ in range(60)]
+            for _ in range(20):
+                await serve(queue, clock, clients[:1], 100_000)
+            uncrowded = limit.base
+            for _ in range(150):  # bursts up to the cap: ten at once take the least time, more take longer
+                calls = int(limit.cap)
+                await serve(queue, clock, clients[:calls], 100_000 * max(calls, 10) // 10)
+                assert 0 < limit.base < 1.3 * uncrowded
+                assert limit.cap < 20
+
+    run(test())
