--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -40,12 +40,16 @@
         assert (await client.answer()).status == 200
 
 
-async def fail_until_ejected(sidecar: Sidecar, queue: asyncio.Queue[Asked], count: int) -> None:
+async def fail_until_ejected(
+    sidecar: Sidecar, queue: asyncio.Queue[Asked], count: int, clock: Clock | None = None
+) -> None:
     """The first `count` endpoints fail all that they get, the others serve, until those are left out."""
     client = await sidecar.client()
     while len(sidecar.host.balancer.ejected) < count:
         client.send("pay")
         asked = await queue.get()
+        if clock is not None:
+            clock.us += 100_000
         failing = any(asked.writer in fake.writers for fake in sidecar.endpoints[:count])
         asked.reply(500 if failing else 200)
         await client.answer()
@@ -107,3 +111,22 @@
                 assert limit.cap < 20
 
     run(test())
+
+
+def test_cap_does_not_grow_by_what_a_few_endpoints_bear_for_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found on a churn day: with two of four endpoints out the cap rose from 31 to 41, and the two jammed."""
+
+    async def test() -> None:
+        clock = Clock(monkeypatch)
+        async with Sidecar(endpoints=4) as sidecar:
+            queue = arrivals(sidecar)
+            limit = sidecar.host.balancer.placements[0].local.limit
+            await fail_until_ejected(sidecar, queue, 2, clock)
+            clients = [await sidecar.client() for _ in range(40)]
+            cap = limit.cap
+            for _ in range(8):  # for less time than they are out
+                await serve(queue, clock, clients[: int(cap / 2)], 100_000)
+                assert limit.open == 0.5
+                assert limit.cap <= cap
+
+    run(test())
