Routes: a compiled table, pools and limits as variants of a class, no smuggling past it

Need: a class was always the first part of the path, and GET /look/../pay/a was served as look and sent on as it came.

The module learns to adopt other variants while calls are out (adopt). Refused now, before anything is sent: two Host or Cookie headers, a key on a class that is not keyed, a body on a GET, headers that stand for method or path, names that read as another header with '_' for '-', and Connection naming a header that must go on.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -432,7 +432,7 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "launched", "order", "ready", "slow", "used", "weight", "zone",
+        "in_flight", "kind", "labels", "launched", "order", "ready", "slow", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -453,6 +453,7 @@
 
     def take(self, entry: Endpoint) -> None:
         self.zone, self.kind, self.cell, self.weight = entry.zone, entry.kind, entry.cell, entry.weight
+        self.labels = entry.labels
         self.ready = entry.readiness is Readiness.READY
         if entry.launched_us != self.launched:  # a new process under a known id: what we knew is void
             self.launched = entry.launched_us
@@ -597,8 +598,10 @@
     """
 
     def __init__(self, grade: RequestClass, layer: int) -> None:
+        self.constraint = (grade.stays_in, grade.served_on, grade.labels)
         self.zones = grade.stays_in
         self.kinds = grade.served_on
+        self.labels = grade.labels
         self.local, self.remote = Pool(layer), Pool(layer)
         self.pools = (self.local, self.remote)
         self.size = 0  # endpoints that are open to it and ready
@@ -606,6 +609,8 @@
         self.spare: dict[str, float] = {}  # the part of an even share left by narrower classes, where below 1
 
     def allows(self, e: EndpointState) -> bool:
+        if not self.labels <= e.labels:
+            return False
         return (self.zones is None or e.zone in self.zones) and (self.kinds is None or e.kind in self.kinds)
 
 
@@ -616,11 +621,11 @@
         self.settings = settings
         self.actions = actions
         self.random = random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
-        best = max(c.credit for c in settings.classes) or 1.0
+        whole = [c for c in settings.classes if not c.variant_of]
+        best = max(c.credit for c in whole) or 1.0
         worths = {
             (c.name, over): c.credit / best * (settings.over_share_worth if over else 1.0)
-            for c in settings.classes
+            for c in whole
             for over in (False, True)
         }
         ranked = sorted(worths, key=lambda k: (-worths[k], k))
@@ -647,12 +652,10 @@
         self.queue = HoldQueue(len(self.worth))
         self.retries = RetryBudget()
         self.idle = IdleConnections(s.limits.conn_idle_us)
-        self.tries = {c.name: TryTime() for c in s.classes}
-        placements: dict[tuple[frozenset[str] | None, frozenset[str] | None], Placement] = {}
-        self.placement = {
-            c.name: placements.setdefault((c.stays_in, c.served_on), Placement(c, s.layer)) for c in s.classes
-        }
-        self.placements = list(placements.values())
+        self.classes: dict[str, RequestClass] = {}
+        self.tries: dict[str, TryTime] = {}
+        self.placement: dict[str, Placement] = {}
+        self._use(s.classes)
         self.ejected: list[EndpointState] = []
         self.ready = 0
         self.fleet_failing = 0.0
@@ -665,6 +668,33 @@
         if s.discovery is Discovery.ASK:
             self.actions.tail(True)
 
+    def _use(self, classes: Sequence[RequestClass]) -> None:
+        """Know these classes and no others; what was learned for the endpoints of one constraint is kept."""
+        known = {p.constraint: p for p in self.placement.values()}
+        self.classes = {c.name: c for c in classes}
+        self.tries = {c.name: self.tries.get(c.name) or TryTime() for c in classes}
+        self.placement = {}
+        for c in classes:
+            new = Placement(c, self.settings.layer)
+            self.placement[c.name] = known.setdefault(new.constraint, new)
+        self.placements = list(dict.fromkeys(self.placement.values()))
+        self.level.update(
+            ((c.name, over), self.level[c.variant_of, over])
+            for c in classes
+            if c.variant_of
+            for over in (False, True)
+        )
+
+    def adopt(self, now_us: int, classes: Sequence[RequestClass]) -> None:
+        """Variants come and go while calls are out: those still in use stay until a later change."""
+        in_use = {c.grade.name: c.grade for c in self.calls.values()}
+        whole = [c for c in self.classes.values() if not c.variant_of]
+        variants = {c.name: c for c in (*in_use.values(), *classes) if c.variant_of}
+        self._use([*whole, *variants.values()])
+        self._fill_pools()
+        if self.queue.count:
+            self._dispatch(now_us)
+
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         if form is ListForm.FAILED:
             if self.settings.discovery is Discovery.ASK and not self.asking:
@@ -828,7 +858,7 @@
 
         Acts only while nothing is scarce: no stress, nobody held, room under the cap, retries left.
         """
-        if call.answered or len(call.attempts) != 1 or not call.outstanding:
+        if call.answered or len(call.attempts) != 1 or not call.outstanding or call.grade.max_attempts == 1:
             return
         if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0:
             return
@@ -1114,6 +1144,7 @@
         """All attempts ended without an answer: send another where that is legal and wise, or give up."""
         s = self.settings
         tries = min(MAX_TRIES if s.layer == 0 else MAX_TRIES_INSIDE, s.limits.max_attempts)
+        tries = min(tries, call.grade.max_attempts or tries)
         legal = call.first_run is None or call.grade.effect is not Effect.AT_MOST_ONCE
         legal = legal and len(call.attempts) < tries and now < call.due - ANSWER_MARGIN_US
         # What was turned away unseen made no work: the budget is for retries of what may have.
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -72,6 +72,7 @@
     readiness: Readiness
     weight: float = 1.0
     launched_us: int = 0
+    labels: frozenset[str] = frozenset()  # further facts of it, as "name=value"
 
 
 def _require(ok: bool, key: str, why: str) -> None:
@@ -92,6 +93,9 @@
     streaming: bool = False
     stays_in: frozenset[str] | None = None  # the only zones that it may go to; None: any
     served_on: frozenset[str] | None = None  # the only kinds of machine
+    labels: frozenset[str] = frozenset()  # "name=value" facts that an endpoint must have, all of them
+    max_attempts: int = 0  # fewer than the site's; 0: the site's
+    variant_of: str = ""  # the class that this one is a narrower form of, and ranks as; "": none
 
     def __post_init__(self) -> None:
         _require(bool(self.name), "name", "must not be empty")
@@ -100,6 +104,7 @@
         _require(self.dedup_window_us >= 0, "dedup_window_us", "must not be negative")
         _require(self.credit >= 0, "credit", "must not be negative")
         _require(0 <= self.late_share <= 1, "late_share", "must lie in 0..1")
+        _require(self.max_attempts >= 0, "max_attempts", "must not be negative")
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +193,10 @@
         _require(len(self.classes) > 0, "classes", "at least one is needed")
         names = [c.name for c in self.classes]
         _require(len(set(names)) == len(names), "classes", "names must differ")
+        full = {c.name for c in self.classes if not c.variant_of}
+        _require(
+            all(c.variant_of in full for c in self.classes if c.variant_of), "classes", "a variant of no class"
+        )
         names = [t.name for t in self.tenants]
         _require(len(set(names)) == len(names), "tenants", "names must differ")
         _require(self.rank >= 0, "rank", "must not be negative")
@@ -254,6 +263,9 @@
     ) -> None:
         """An attempt ended; `closed` says that the request is finished."""
 
+    def adopt(self, now_us: int, classes: Sequence[RequestClass]) -> None:
+        """Other variants of the classes hold from now on; the classes themselves stay as they were."""
+
     def expired(self, now_us: int, call: str) -> None:
         """The client quit."""
 
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from eiderhub.interface import Settings
+from eiderhub.routing.plan import Plan
 from eiderhub.settings import settings_from
 from eiderhub.sidecar.bounds import Bounds
 from eiderhub.sidecar.discovery import Listing, read_listing
@@ -35,6 +36,7 @@
     bounds: Bounds
     known: Listing
     settings: Settings
+    plan: Plan | None = None  # routes; None: the first part of the path is the class
 
 
 def parse_address(text: object, key: str) -> Address:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -36,6 +36,13 @@
     entries: list[Listed]
 
 
+def _labels(metadata: Any) -> frozenset[str]:
+    """What a list says of an endpoint beside the platform's own fields, for the pools that routes name."""
+    if metadata is None:
+        return frozenset()
+    return frozenset(f"{name}={value}" for name, value in metadata.items())
+
+
 def _entry(row: Any) -> Listed:
     host, _, port = row["hostPort"].rpartition(":")
     started_ms = int(row.get("startedAtMs") or 0)
@@ -49,6 +56,7 @@
         weight=weight if weight > 0 else 1.0,
         # 0 stands for long ago; the module's clock is monotonic, so a start may lie before its zero.
         launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
+        labels=_labels(row.get("metadata")),
     )
     if not host:
         raise ValueError("hostPort")
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -14,6 +14,7 @@
 
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.routing.plan import plain
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
@@ -67,7 +68,8 @@
     """Implements the module's `Actions` and feeds its `Events`."""
 
     def __init__(self, config: Config) -> None:
-        settings = config.settings
+        self.plan = config.plan or plain(config.settings)
+        settings = self.plan.settings
         self.settings = settings
         self.requests: dict[str, Request] = {}
         self.serial = 0
@@ -97,7 +99,15 @@
             self.watcher.turn(True)
 
     def reload(self, config: Config) -> None:
-        """Take from a new configuration what may change while the process runs: where discovery is."""
+        """Take from a new configuration what may change while the process runs: routes, and where discovery is.
+
+        What is in flight ends under the class that it was taken with. The module goes first: should it fail,
+        nothing has changed yet.
+        """
+        plan = config.plan or plain(config.settings)
+        if plan.variants or self.plan.variants:
+            self.balancer.adopt(now_us(), plan.variants)
+        self.plan = plan
         self.watcher.move(config.discovery.host, config.discovery.port)
 
     @property
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -11,6 +11,9 @@
 import httptools
 
 from eiderhub.interface import Effect, RequestClass
+from eiderhub.routing.plan import METHOD
+from eiderhub.routing.table import Asked
+from eiderhub.routing.target import Refused, segments_of
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Host, Request
 from eiderhub.sidecar.upstream import HOP_BY_HOP
@@ -29,6 +32,15 @@
 BUSY_WAIT = b"1"  # Retry-After where no memory is left
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
+# Headers on which endpoints and the sidecar must agree: two of one are two readings of one request.
+GIVEN_ONCE = frozenset((b"host", b"idempotency-key", b"cookie", b"content-length", b"transfer-encoding"))
+# Some servers let these stand for the method or the path: the request would run as what no route has seen.
+OVERRIDES = frozenset(
+    (
+        b"x-http-method-override", b"x-http-method", b"x-method-override", b"x-original-url", b"x-rewrite-url",
+        b"x-original-uri",
+    )
+)  # fmt: skip
 log = logging.getLogger(__name__)
 
 
@@ -319,7 +331,6 @@
         self.idle: dict[CallerConnection, None] = {}  # those between requests, the longest idle first
         self.open_ids: set[bytes] = set()
         self.longest_s = max(c.deadline_us for c in host.settings.classes) / 1e6
-        self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
         self.draining = False  # no more callers are wanted
         self.leaving = False  # nor those that are here
@@ -379,33 +390,47 @@
 
     def admit(self, caller: CallerConnection, incoming: Incoming) -> Request | None:
         """The request to take, or None where it is answered already."""
-        path = incoming.url.partition(b"?")[0]
+        path, _, query = incoming.url.partition(b"?")
         if path == b"/up":
             self._up(caller, incoming)
             return None
-        grade = self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        fields = _fields(incoming.headers)
+        owner = _text(fields.get(b"req-owner"))
+        tenant = owner if owner in self.tenants else None
+        try:
+            grade = self.host.plan.grade(
+                Asked(
+                    "http",
+                    incoming.method.decode("latin-1"),
+                    segments_of(path),
+                    lambda name: _text(fields.get(name.encode("latin-1"))),
+                    query,
+                    tenant,
+                )
+            )
+        except Refused as refused:
+            # Danger: what a server could read as another path than we do would pass a route unseen.
+            raise Rejected(400, f"the target has {refused}") from None
         if grade is None:
             raise Rejected(404, "no such class")
-        return self._request(caller, incoming, grade)
+        if self.tenants and tenant is None:  # each unknown name would get a budget, and memory, of its own
+            raise Rejected(400, "req-owner: missing or unknown")
+        return self._request(caller, incoming, grade, tenant, fields)
 
     def _up(self, caller: CallerConnection, incoming: Incoming) -> None:
         if incoming.method != b"GET":
             raise Rejected(405, "GET only")
         caller.answer(200 if self.host.ready and not self.draining else 503, [], b"")
 
-    def _request(self, caller: CallerConnection, incoming: Incoming, grade: RequestClass) -> Request:
-        fields: dict[bytes, bytes] = {}
-        lines = [b"%s %s HTTP/1.1\r\n" % (incoming.method, incoming.url)]
-        for name, value in incoming.headers:
-            key = name.lower()
-            if key in fields and (key.startswith(b"req-") or key == b"idempotency-key"):
-                raise Rejected(400, f"{key.decode('latin-1')}: given twice")
-            fields[key] = value
-            if key not in NOT_FORWARDED:
-                lines.append(b"%s: %s\r\n" % (name, value))
-        if b"host" not in fields:  # HTTP/1.0 may leave it out, what goes on may not
-            lines.append(b"Host: endpoint\r\n")
-        _check_method(incoming.method, grade, fields)
+    def _request(
+        self,
+        caller: CallerConnection,
+        incoming: Incoming,
+        grade: RequestClass,
+        tenant: str | None,
+        fields: dict[bytes, bytes],
+    ) -> Request:
+        _check_method(incoming, grade, fields)
         request_id = fields.get(b"req-id", b"")
         if not _is_token(request_id):
             raise Rejected(400, "req-id: missing or bad")
@@ -415,39 +440,77 @@
         if fields.get(b"req-retry", b"1") not in (b"0", b"1"):
             raise Rejected(400, "req-retry: bad value")
         hint_us = _number(fields, b"req-cost", 1 << 50)
-        tenant = self._tenant(fields)
+        wait_us = deadline_ms * 1000
+        if grade.variant_of:  # a route may be tighter than the client; a class's own time never cuts a client's
+            wait_us = min(wait_us, grade.deadline_us)
         if request_id in self.open_ids:
             # Two answers would be owed under one id, and endpoints could not tell its attempts apart.
             raise Rejected(409, "req-id: this request is open")
         self.open_ids.add(request_id)
         caller.request_id = request_id
-        if incoming.body or grade.effect is not Effect.IDEMPOTENT:
-            lines.append(b"Content-Length: %d\r\n" % len(incoming.body))
         return Request(
             caller,
             grade.name,
             tenant,
             hint_us,
-            incoming.arrived_us + deadline_ms * 1000,
-            b"".join(lines),
+            incoming.arrived_us + wait_us,
+            _head(incoming, grade, fields),
             incoming.body,
         )
 
-    def _tenant(self, fields: dict[bytes, bytes]) -> str | None:
-        """The owner. An unknown one is no tenant: each name would get a budget, and memory, of its own."""
-        if not self.tenants:
-            return None
-        owner = fields.get(b"req-owner", b"").decode("latin-1")
-        if owner not in self.tenants:
-            raise Rejected(400, "req-owner: missing or unknown")
-        return owner
-
 
-def _check_method(method: bytes, grade: RequestClass, fields: dict[bytes, bytes]) -> None:
-    if method != (b"GET" if grade.effect is Effect.IDEMPOTENT else b"POST"):
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _fields(headers: list[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
+    """The headers by name in lower case; what two readers could take for two different requests is refused."""
+    fields: dict[bytes, bytes] = {}
+    for name, value in headers:
+        key = name.lower()
+        if key in fields and (key in GIVEN_ONCE or key.startswith(b"req-")):
+            raise Rejected(400, f"{key.decode('latin-1')}: given twice")
+        if key in OVERRIDES:
+            raise Rejected(400, f"{key.decode('latin-1')}: the request line says what is asked for")
+        # Danger: servers that turn headers into variables read `Req_Id` as `Req-Id`.
+        if b"_" in key and (dashed := key.replace(b"_", b"-")) and _means_something(dashed):
+            raise Rejected(400, f"{key.decode('latin-1')}: could be read as {dashed.decode('latin-1')}")
+        fields[key] = value
+    connection = fields.get(b"connection")
+    if connection is not None:
+        for token in connection.lower().split(b","):
+            if _means_something(token.strip()):
+                raise Rejected(400, "connection: names a header that must go on")
+    return fields
+
+
+def _means_something(key: bytes) -> bool:
+    return key in GIVEN_ONCE or key.startswith(b"req-")
+
+
+def _head(incoming: Incoming, grade: RequestClass, fields: dict[bytes, bytes]) -> bytes:
+    """Request line and headers for endpoints, but for the time that is left."""
+    lines = [b"%s %s HTTP/1.1\r\n" % (incoming.method, incoming.url)]
+    lines += [b"%s: %s\r\n" % (n, v) for n, v in incoming.headers if n.lower() not in NOT_FORWARDED]
+    if b"host" not in fields:  # HTTP/1.0 may leave it out, what goes on may not
+        lines.append(b"Host: endpoint\r\n")
+    if grade.effect is not Effect.IDEMPOTENT:
+        lines.append(b"Content-Length: %d\r\n" % len(incoming.body))
+    return b"".join(lines)
+
+
+def _check_method(incoming: Incoming, grade: RequestClass, fields: dict[bytes, bytes]) -> None:
+    """PROTOCOL: method, key and body follow from the class. One that differs was meant as another class."""
+    if incoming.method != METHOD[grade.effect].encode():
         raise Rejected(405, "the method does not fit the class")
-    if grade.effect is Effect.DEDUPLICATED and not fields.get(b"idempotency-key"):
+    keyed = grade.effect is Effect.DEDUPLICATED
+    if keyed and not fields.get(b"idempotency-key"):
         raise Rejected(400, "idempotency-key: missing")
+    if not keyed and b"idempotency-key" in fields:
+        raise Rejected(400, "idempotency-key: the class is not keyed")
+    if incoming.body and grade.effect is Effect.IDEMPOTENT:
+        # Danger: a server that skips the body of a GET reads it as the next request on that connection.
+        raise Rejected(400, "a body on a GET")
 
 
 def _is_token(value: bytes) -> bool:
--- /dev/null
+++ b/tests/routing/reference.py
@@ -0,0 +1,38 @@
+"""A slow and obvious matcher, written from the stated order alone: what the compiled table is held against."""
+
+from __future__ import annotations
+
+from eiderhub.routing.table import PARAM, Asked, Route, condition_order
+from eiderhub.routing.target import query_values
+
+
+def matches(route: Route, asked: Asked) -> bool:
+    parts = [part.lower() for part in asked.segments]
+    pattern = route.pattern
+    if len(parts) < len(pattern.parts) or (len(parts) > len(pattern.parts) and not pattern.prefix):
+        return False
+    if any(want not in (PARAM, have) for want, have in zip(pattern.parts, parts, strict=False)):
+        return False
+    if route.methods and asked.method not in route.methods:
+        return False
+    for key in ("tenant", "protocol", "service", "call"):
+        if getattr(route, key) is not None and getattr(route, key) != getattr(asked, key):
+            return False
+    if any(asked.header(name) != value for name, value in route.headers):
+        return False
+    names = frozenset(name for name, _ in route.query)
+    given = query_values(asked.query, names)
+    return all(given.get(name) == value for name, value in route.query)
+
+
+def rank(route: Route, asked: Asked) -> tuple[object, ...]:
+    """The stated order as a sort key among routes that match this request."""
+    path = tuple(int(part == PARAM) for part in route.pattern.parts) + ((2,) if route.pattern.prefix else ())
+    conditions = sorted(route.conditions(), key=condition_order)
+    if route.methods:
+        conditions = sorted([*conditions, ("method",)], key=condition_order)
+    return path, -len(conditions), [condition_order(c) for c in conditions]
+
+
+def find(routes: list[Route], asked: Asked) -> Route | None:
+    return min((r for r in routes if matches(r, asked)), key=lambda r: rank(r, asked), default=None)
--- /dev/null
+++ b/tests/routing/test_plan.py
@@ -0,0 +1,98 @@
+"""Routes as the decision module sees them: variants of classes, their pools and limits."""
+
+from __future__ import annotations
+
+import pytest
+
+from eiderhub.interface import Effect, Endpoint, Limits, Outcome, Readiness, RequestClass, Settings
+from eiderhub.routing.plan import PoolRule, plain, plan
+from eiderhub.routing.table import Asked, Route, read_pattern
+from tests.support import MS, Host
+
+LOOK = RequestClass("look", 1_000_000, 3_000_000, Effect.IDEMPOTENT)
+PAY = RequestClass("pay", 2_000_000, 3_000_000, Effect.AT_MOST_ONCE)
+SETTINGS = Settings(classes=[LOOK, PAY], limits=Limits(max_attempts=5))
+NEAR = PoolRule("near", zones=frozenset(("a",)))
+GOLD = PoolRule("gold", labels=frozenset(("rank=gold",)))
+
+
+def asked(path: str) -> Asked:
+    return Asked("http", "GET", tuple(part.encode() for part in path.strip("/").split("/") if part))
+
+
+def test_without_routes_the_first_part_is_the_class() -> None:
+    rule = plain(SETTINGS)
+    assert rule.grade(asked("/look/a")) is LOOK
+    assert rule.grade(asked("/LOOK/a")) is None
+    assert rule.grade(asked("/")) is None
+    assert rule.variants == []
+
+
+def test_a_route_with_a_pool_and_limits_is_a_variant_that_ranks_as_its_class() -> None:
+    route = Route("r", "look", read_pattern("/stock/{id}"), pool="near", deadline_us=500_000, attempts=1)
+    made = plan(SETTINGS, [route], {"near": NEAR})
+    grade = made.grade(asked("/stock/7"))
+    assert grade is not None
+    assert (grade.variant_of, grade.deadline_us, grade.aim_us, grade.max_attempts) == ("look", 500_000, 500_000, 1)
+    assert grade.stays_in == frozenset(("a",))
+    assert made.grade(asked("/stock")) is None
+    assert made.grade(asked("/look/a")) is LOOK
+
+
+def test_equal_narrowings_share_one_variant_and_none_keeps_the_class() -> None:
+    routes = [
+        Route("r1", "look", read_pattern("/one"), attempts=2),
+        Route("r2", "look", read_pattern("/two"), attempts=2),
+        Route("r3", "look", read_pattern("/three"), deadline_us=9_000_000),
+    ]
+    made = plan(SETTINGS, routes, {})
+    assert len(made.variants) == 1
+    assert made.grade(asked("/three")) is LOOK
+
+
+def test_aliases_and_the_default() -> None:
+    made = plan(SETTINGS, [], {}, aliases={"charge": "pay", "look": "pay"})
+    assert made.grade(asked("/charge/a")) is PAY
+    assert made.grade(asked("/look/a")) is LOOK  # an alias never stands above a class
+    assert plan(SETTINGS, [], {}, "refuse").grade(asked("/look/a")) is None
+
+
+def endpoint(name: str, zone: str = "a", *labels: str) -> Endpoint:
+    return Endpoint(name, zone, "m", 0, Readiness.READY, labels=frozenset(labels))
+
+
+@pytest.mark.parametrize("pool", [NEAR, GOLD])
+def test_the_module_sends_a_variant_to_its_pool_alone(pool: PoolRule) -> None:
+    made = plan(SETTINGS, [Route("r", "look", read_pattern("/x"), pool=pool.name)], {pool.name: pool})
+    others = [endpoint(f"s{i}", "b", "rank=tin") for i in range(2, 9)]
+    host = Host(made.settings, [endpoint("s1", "a", "rank=gold"), *others])
+    for _ in range(30):
+        host.reply(host.order(made.variants[0].name), Outcome.OK)
+        host.advance(50 * MS)
+    assert {sent[2] for sent in host.sends()} == {"s1"}
+
+
+def test_the_attempts_of_a_route_bound_the_retries() -> None:
+    made = plan(SETTINGS, [Route("r", "look", read_pattern("/x"), attempts=1)], {})
+    host = Host(made.settings, [endpoint("s1"), endpoint("s2")])
+    bound, free = host.order(made.variants[0].name), host.order("look")
+    for call in (bound, free):
+        host.reply(call, Outcome.CONNECT_FAILED)
+    assert (len(host.sends(bound)), host.answers(bound)) == (1, ["shed"])
+    assert (len(host.sends(free)), host.answers(free)) == (2, [])
+
+
+def test_variants_change_while_calls_are_out() -> None:
+    old = plan(SETTINGS, [Route("r", "look", read_pattern("/x"), pool="near")], {"near": NEAR})
+    new = plan(SETTINGS, [Route("r", "look", read_pattern("/x"), attempts=2)], {})
+    host = Host(old.settings, [endpoint("s1"), endpoint("s2")])
+    call = host.order(old.variants[0].name)
+    host.balancer.adopt(host.now, new.variants)
+    other = host.order(new.variants[0].name)
+    assert old.variants[0].name in host.balancer.classes  # in use still
+    host.reply(call, Outcome.CONNECT_FAILED)
+    assert (len(host.sends(call)), len(host.sends(other))) == (2, 1)
+    host.reply(call, Outcome.OK)
+    host.balancer.adopt(host.now, new.variants)
+    assert old.variants[0].name not in host.balancer.classes
+    assert len(host.balancer.placements) == 1
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -15,6 +15,7 @@
 
 import uvloop
 
+from eiderhub.routing.plan import Plan
 from eiderhub.settings import settings_from
 from eiderhub.sidecar.bounds import Bounds
 from eiderhub.sidecar.config import Address, Config
@@ -209,8 +210,10 @@
         callers: int = 500,
         upstream: int = 400,
         held: int = 1 << 24,
+        plan: Plan | None = None,
         **settings: Any,
     ) -> None:
+        self.plan = plan
         self.count = endpoints
         self.bounds = Bounds(callers, upstream, held)
         self.setup = {**SETUP, **settings}
@@ -228,6 +231,7 @@
             bounds=self.bounds,
             known=read_listing(json.loads(listing(1, True, *rows))),
             settings=settings_from(self.setup),
+            plan=self.plan,
         )
         self.host = Host(self.config)
         self.sweep = asyncio.create_task(self.host.upstream.sweep())
@@ -250,6 +254,10 @@
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
+    async def next(self) -> Asked:
+        """The next request that any endpoint gets."""
+        return await first_asked(self)
+
 
 def started(tmp_path: Path, changes: dict[str, Any], **variables: str) -> subprocess.Popen[str]:
     """The program as a process of its own, told by a file in `tmp_path` and by these variables."""
