eiderhub config: the operator's file, and a tool that writes, checks, explains and compares

Need: each application needs a configuration of its own; nobody checked one before a start, and unknown keys were skipped.

SIGHUP reads beside the loop and takes a configuration whole or not at all. One command eiderhub; standins/ with endpoints, discovery, callers and a demonstration.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1025,7 +1025,7 @@
             self.placement[call.grade.name].sent += call.price
             usual = pool.limit.median * call.grade.aim_us
             # Only the outermost layer copies: copies inside multiply, and only it sees all stress.
-            if usual and self.copying and call.grade.effect is Effect.IDEMPOTENT:
+            if usual and self.copying and call.grade.copies and call.grade.effect is Effect.IDEMPOTENT:
                 self.copies.append((now + int(COPY_RISE * usual), call))
                 self._sweep_later(now)
         step = -1  # unknown: others are out, and which connection comes next is not told
--- /dev/null
+++ b/eiderhub/config/across.py
@@ -0,0 +1,87 @@
+"""What shows only between files: one address twice, effects that differ, times that don't fit into each other."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from eiderhub.config.declared import fold
+from eiderhub.config.findings import Spot
+from eiderhub.config.load import Examined
+from eiderhub.config.sidecar_file import STRICTNESS
+from eiderhub.config.units import show_duration
+
+
+class _Class(NamedTuple):
+    """One class in one file."""
+
+    name: str
+    row: dict[str, Any]
+    spot: Spot
+    layer: int
+    tiers: tuple[str, ...]
+
+
+def across(examined: Sequence[Examined]) -> None:
+    """What shows only between files: one address twice, effects that differ, times that don't fit."""
+    _addresses(examined)
+    classes: dict[str, list[_Class]] = {}
+    for one in examined:
+        settings = one.pair.settings
+        for i, row in enumerate(one.pair.categories):
+            if "Name" in row and "Effect" in row:
+                spot = one.pair.sidecar / "settings" / "Categories" / i
+                tiers = tuple(settings.get("Tiers") or [""])
+                found = _Class(row["Name"], row, spot, settings.get("Layer", 0), tiers)
+                classes.setdefault(fold(row["Name"]), []).append(found)
+    for same in classes.values():
+        _effects(same)
+        _tiers(same)
+
+
+def _addresses(examined: Sequence[Examined]) -> None:
+    taken: dict[str, str] = {}
+    for one in examined:
+        listen = one.pair.document.get("listen")
+        if not listen or listen.endswith(":0"):
+            continue
+        file = one.pair.sidecar.report.file
+        if listen in taken:
+            (one.pair.sidecar / "listen").error(
+                "same-address",
+                f"{listen} is the address of {taken[listen]} too",
+                "The second of them would not start",
+                "Give each sidecar an address of its own",
+            )
+        taken.setdefault(listen, file)
+
+
+def _effects(same: list[_Class]) -> None:
+    """A call goes on down the chain: what one tier takes for unsafe, no other may send again."""
+    strictest = max(same, key=lambda c: STRICTNESS[c.row["Effect"]])
+    for one in same:
+        if STRICTNESS[one.row["Effect"]] < STRICTNESS[strictest.row["Effect"]]:
+            (one.spot / "Effect").error(
+                "effects-differ",
+                f"{one.name!r} is {one.row['Effect']} here and {strictest.row['Effect']} in "
+                f"{strictest.spot.report.file}:{strictest.spot.report.line((*strictest.spot.path, 'Effect'))}",
+                "One of the two would send again what the other must not see twice",
+                f'Write "{strictest.row["Effect"]}" in both, or mend the other',
+            )
+
+
+def _tiers(same: list[_Class]) -> None:
+    """Inner calls are made within the time of the request above: more than that is never there."""
+    for inner in same:
+        outer = [c for c in same if c.tiers == inner.tiers and c.layer < inner.layer and "DeadlineUs" in c.row]
+        if not outer or "DeadlineUs" not in inner.row:
+            continue
+        above = min(outer, key=lambda c: (c.row["DeadlineUs"], c.spot.report.file))
+        if inner.row["DeadlineUs"] > above.row["DeadlineUs"]:
+            (inner.spot / "DeadlineUs").error(
+                "outlasts-tier-above",
+                f"{show_duration(inner.row['DeadlineUs'])}, and the tier above gives up after "
+                f"{show_duration(above.row['DeadlineUs'])} ({above.spot.report.file})",
+                "The caller is gone before the time is up, and the work goes on for nobody",
+                "Write less here, or more there",
+            )
--- /dev/null
+++ b/eiderhub/config/describe.py
@@ -0,0 +1,197 @@
+"""The writer's input: some twenty lines that describe an application, or a fleet of them."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+from eiderhub.config.files import read_bytes, read_text, read_toml
+from eiderhub.config.findings import Report, Spot
+from eiderhub.config.schema import (
+    BAD,
+    NAME_TEXT,
+    Choice,
+    Duration,
+    Flag,
+    Int,
+    Key,
+    Named,
+    Number,
+    Rows,
+    Several,
+    Size,
+    Table,
+    Text,
+)
+from eiderhub.config.sidecar_file import HOUR_US, PART, Address
+from eiderhub.config.units import show_duration
+from eiderhub.routing.options import EFFECTS
+from eiderhub.routing.options import TABLES as ROUTING_TABLES
+
+TIME = Duration(1, HOUR_US)
+NAMES = Several(Text(r"[^\x00-\x1f]{1,128}", "a name"), 1000)
+APPLICATIONS = "application"  # the rows of a fleet's file
+
+CLASS = Table(
+    (
+        Key("wanted", TIME, "answers count in full within this time"),
+        Key("give_up", TIME, "the client gives up after this time"),
+        Key("repeat", Choice(tuple(EFFECTS)), "what a repeat does"),
+        Key("remembered", TIME, "how long endpoints drop a repeated key; for keyed classes", None),
+        Key("dropped_by", Choice(("all", "zone", "cell")), "which endpoints drop it", "all"),
+        Key("worth", Number(0, 1e6), "what a request is worth", 1.0),
+        Key("late", PART, "share of the worth that an answer after the wanted time earns", 0.0),
+        Key("aliases", NAMES, "further first parts that mean the class", ()),
+    )
+)
+MACHINE = Table(
+    (
+        Key("memory", Size(1 << 20, 1 << 40), "the memory limit", 64 << 20),
+        Key("descriptors", Int(1, 1 << 24), "the limit on descriptors", 512),
+        Key("cores", Number(0.01, 10_000), "the part of a core", 1.0),
+    )
+)
+SERVERS = Table(
+    (
+        Key("cold", Duration(0, HOUR_US), "a server that has started is warm after this time", 10_000_000),
+        Key("cold_from", Number(0.001, 1), "the part of its capacity that it starts with", 0.3),
+        Key("bears", Number(1, 1000), "the multiple of its present capacity that pushes a cold one over", 2.0),
+        Key("idle", Duration(100_000, HOUR_US), "servers close idle connections after this time", 5_000_000),
+        Key("connect", Duration(1_000, 60_000_000), "a connection not up by then has failed", 250_000),
+    )
+)
+APPLICATION = Table(
+    (
+        Key("name", NAME_TEXT, "the application's name"),
+        Key("tiers", NAMES, "all tiers in the order of calls", None),
+        Key("tier", Text(r"[^\x00-\x1f]{1,128}", "a tier's name"), "the tier that the sidecar sends into", None),
+        Key("sidecars", Int(1, 1_000_000), "sidecars that send into the tier", 1),
+        Key("number", Int(0, 999_999), "which of them this one is, from 0", 0),
+        Key("listen", Address(), "where callers connect"),
+        Key("discovery", Address(), "where endpoints are asked for"),
+        Key("lists", Choice(("ask", "push")), "whether discovery is asked, or pushes", "ask"),
+        Key("endpoints", Several(Address(), 20_000), "endpoints known before discovery answers", ()),
+        Key("zone", Text(r"[^\x00-\x1f]{1,128}", "a zone's name"), "the zone of the sidecar", ""),
+        Key("zones", NAMES, "all zones", None),
+        Key("kinds", NAMES, "all kinds of machine", None),
+        Key("rate", Number(0, 1e9, "requests a second"), "requests a second into the tier, from all sidecars"),
+        Key("over_share", PART, "worth of a request over its tenant's share", 0.1),
+        Key("machine", MACHINE, "the machine of the sidecar", MACHINE.read({}, Spot(Report("")))),
+        Key("servers", SERVERS, "what the servers bear", SERVERS.read({}, Spot(Report("")))),
+        Key("classes", Named(CLASS, r"[^\x00-\x1f]{1,128}"), "the classes of requests"),
+        Key("tenants", Named(PART, r"[^\x00-\x1f]{1,128}"), "tenants and their shares", {}),
+        Key("clients_wait", Duration(0, HOUR_US), "the longest Retry-After that clients obey; 0: they obey none",
+            1_000_000),
+        Key("default", Choice(("first-part", "refuse")), "what becomes of a request that no route takes", "first-part"),
+        Key("pools", ROUTING_TABLES["pools"], "pools of endpoints", {}),
+        Key("routes", ROUTING_TABLES["routes"], "routes", []),
+        Key("loopback", Flag(), "whether the sidecar may listen on loopback addresses only", None),
+    )
+)  # fmt: skip
+FLEET_KEYS = frozenset(key.name for key in APPLICATION.keys)
+
+
+def is_description(document: dict[str, Any]) -> bool:
+    """Whether a decoded file describes applications: an operator's file has none of these keys."""
+    return APPLICATIONS in document or "name" in document or "listen" in document or "rate" in document
+
+
+class Application:
+    """One application's description as it was read, and where."""
+
+    def __init__(self, table: dict[str, Any], raw: dict[str, Any], spot: Spot) -> None:
+        self.table = table
+        self.raw = raw  # for what goes on as it was written
+        self.spot = spot
+
+    @property
+    def name(self) -> str:
+        return str(self.table["name"])
+
+
+def read(path: str) -> tuple[list[Application], Report]:
+    """The applications that a file describes, with findings. Raises `Unreadable` where it can't be read at all."""
+    report = Report(path)
+    text = read_text(read_bytes(path), Spot(report))
+    document = read_toml(text, report) if text is not None else None
+    if document is None:
+        return [], report
+    spot = Spot(report)
+    found = []
+    for raw, place in _rows(document, spot):
+        table = APPLICATION.read(raw, place)
+        if table is not BAD:
+            found.append(Application(table, raw, place))
+    _check_names(found)
+    for application in found:
+        _check(application)
+    return found, report
+
+
+def _rows(document: dict[str, Any], spot: Spot) -> list[tuple[dict[str, Any], Spot]]:
+    """Each application's own table: in a fleet's file what stands above the rows holds for all of them."""
+    if APPLICATIONS not in document:
+        return [(document, spot)]
+    shared = {key: value for key, value in document.items() if key != APPLICATIONS}
+    rows = document[APPLICATIONS]
+    if Rows(Table((), foreign=True, words="tables")).read(rows, Spot(Report(""))) is BAD or not rows:
+        (spot / APPLICATIONS).error(
+            "value", "no list of tables", "Nothing is written", "Write [[application]] for each application"
+        )
+        return []
+    return [(_merged(shared, row), spot / APPLICATIONS / i) for i, row in enumerate(rows) if isinstance(row, dict)]
+
+
+def _merged(shared: dict[str, Any], row: dict[str, Any]) -> dict[str, Any]:
+    merged = copy.deepcopy(shared)
+    for key, value in row.items():
+        if isinstance(value, dict) and isinstance(merged.get(key), dict):
+            merged[key] = {**merged[key], **value}
+        else:
+            merged[key] = value
+    return merged
+
+
+def _check_names(applications: list[Application]) -> None:
+    seen: set[str] = set()
+    for application in applications:
+        if application.name.casefold() in seen:
+            (application.spot / "name").error(
+                "duplicate", f"{application.name!r} is there twice", "One would be written over", "Rename one"
+            )
+        seen.add(application.name.casefold())
+
+
+def _check(application: Application) -> None:
+    """What the files made of it could not show any more; all else is found in them, by the checker."""
+    table, spot = application.table, application.spot
+    tiers = table["tiers"] or ((table["tier"],) if table["tier"] else ("",))
+    if table["tier"] and table["tier"] not in tiers:
+        (spot / "tier").error(
+            "unknown-tier", f"{table['tier']!r} is none of the tiers", "Its place in the chain is not known",
+            f"Write one of {', '.join(tiers)}",
+        )  # fmt: skip
+    if table["number"] >= table["sidecars"]:
+        (spot / "number").error(
+            "rank", f"number {table['number']} of {table['sidecars']}, counted from 0", "Two sidecars would be one",
+            f"Write 0 to {table['sidecars'] - 1}",
+        )  # fmt: skip
+    for name, row in table["classes"].items():
+        place = spot / "classes" / name
+        if row["repeat"] == "keyed" and not row["remembered"]:
+            (place / "remembered").error(
+                "missing", "a keyed class needs it", "No repeat could ever be sent", "Say how long a key is remembered"
+            )
+        elif row["repeat"] != "keyed" and row["remembered"]:
+            (place / "remembered").error(
+                "unused", f"the class is {row['repeat']!r}, and carries no key", "It would do nothing",
+                'Leave it out, or write repeat = "keyed"',
+            )  # fmt: skip
+        elif row["remembered"] and row["remembered"] <= table["servers"]["connect"]:
+            (place / "remembered").error(
+                "window",
+                f"{show_duration(row['remembered'])} is not more than the time to connect, "
+                f"{show_duration(table['servers']['connect'])}",
+                "A repeat could always come too late and run a second time",
+                'Write repeat = "never"',
+            )
--- /dev/null
+++ b/eiderhub/config/explain.py
@@ -0,0 +1,174 @@
+"""What a configuration does with a request, in words: for one request, and as facts that two files can differ in."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from eiderhub.balancer import MAX_TRIES, MAX_TRIES_INSIDE, may_refuse, may_resend
+from eiderhub.config.load import needs_restart
+from eiderhub.config.units import show_duration, show_size
+from eiderhub.interface import Effect, Group, RequestClass, Settings
+from eiderhub.routing.plan import METHOD, Plan
+from eiderhub.routing.table import Asked
+from eiderhub.routing.target import Refused, segments_of
+from eiderhub.sidecar.config import Config
+
+HERE, OTHER_CELL = ("z", 0), ("y", 1)  # two places, for asking the rules what holds for each
+
+
+class Explained(NamedTuple):
+    route: str  # its name, or how the default took it
+    grade: RequestClass | None
+    refusal: str  # why nothing takes it; "" where something does
+
+
+def explain(plan: Plan, asked: Asked, path: bytes) -> Explained:
+    """Which route takes a request, by the same look-up as in service."""
+    try:
+        asked.segments = segments_of(path)
+        grade = plan.grade(asked)
+        route = plan.table.find(asked) if plan.table else None
+    except Refused as refused:
+        return Explained("", None, f"400: the target has {refused}")
+    if grade is None:
+        return Explained("", None, "404: no route takes it, and its first part names no class")
+    if asked.protocol == "http" and asked.method != METHOD[grade.effect]:
+        return Explained(route.name if route else "", grade, f"405: its class takes {METHOD[grade.effect]} alone")
+    return Explained(route.name if route else "the default: the first part of the path", grade, "")
+
+
+def may_do(grade: RequestClass, settings: Settings) -> dict[str, str]:
+    """What the sidecar may do once an attempt has ended, as the module's own rules say it."""
+    tries = min(MAX_TRIES if settings.layer == 0 else MAX_TRIES_INSIDE, settings.limits.max_attempts)
+    tries = min(tries, grade.max_attempts or tries)
+    ran = _after(grade, True, tries)
+    return {
+        "after a reset or a time-out (it may have run)": ran,
+        "after an error (it may have run)": ran,
+        "after being turned away or not connecting (it never ran)": _after(grade, False, tries),
+    }
+
+
+def _after(grade: RequestClass, ran: bool, tries: int) -> str:
+    first = (0, *HERE) if ran else None
+    window = grade.dedup_window_us
+    here = may_resend(grade.effect, grade.group, window, first, 0, HERE)
+    elsewhere = may_resend(grade.effect, grade.group, window, first, 0, OTHER_CELL)
+    for_good = may_resend(grade.effect, grade.group, window, first, window + 1, HERE)
+    answer = "refuse (503)" if may_refuse(grade.effect, grade.group, ran) else "fail (502 or 504), promising nothing"
+    if not here or tries == 1:
+        return f"never send it again; {answer}"
+    where = "to any endpoint" if elsewhere else f"within its {grade.group.value} alone"
+    until = "" if for_good else f" for {show_duration(window)} after the first attempt"
+    return f"send it again {where}{until}, {tries} attempts in all; then {answer}"
+
+
+def describe_pool(grade: RequestClass) -> str:
+    parts = []
+    for words, names in (("zones", grade.stays_in), ("kinds", grade.served_on), ("labels", grade.labels or None)):
+        if names is not None:
+            parts.append(f"{words} {', '.join(sorted(names)) or 'none'}")
+    return "; ".join(parts) or "every endpoint"
+
+
+class Fact(NamedTuple):
+    """One thing that a configuration does."""
+
+    subject: str
+    what: str
+    value: str
+    restart: bool  # whether a change of it needs one
+
+
+def facts(config: Config) -> list[Fact]:
+    """All that a configuration does, in the terms of `explain`."""
+    plan = config.plan
+    assert plan is not None  # an examined configuration has one
+    settings = config.settings
+    found = [
+        Fact("the sidecar", "is named", config.name, True),
+        Fact("the sidecar", "listens on", f"{config.listen.host}:{config.listen.port}", True),
+        Fact("the sidecar", "asks for endpoints at", f"{config.discovery.host}:{config.discovery.port}", False),
+        Fact("the sidecar", "holds for others at most", show_size(config.bounds.held), True),
+        Fact("the sidecar", "has connections of callers", str(config.bounds.callers), True),
+        Fact("the sidecar", "has connections to endpoints", str(config.bounds.endpoints), True),
+        Fact("a request that no route takes", "goes by", plan.default, False),
+    ]
+    for grade in settings.classes:
+        found += _class_facts(grade, settings)
+    for tenant in settings.tenants:
+        found.append(Fact(f"tenant {tenant.name}", "has the share", f"{tenant.share:g}", True))
+        found.append(Fact(f"tenant {tenant.name}", "has requests a second", f"{tenant.quota_per_s:g}", True))
+    for name, default in plan.first_part.items():
+        spelt = name.decode("utf-8")
+        found.append(Fact(f"/{spelt}/...", "is of the class", default.variant_of or default.name, False))
+        found += _narrowed(f"/{spelt}/...", default, settings)
+    for route in plan.table.routes if plan.table else ():
+        grade = plan.grades[route.name]
+        subject = f"route {route.name}"
+        asks = ", ".join(f"{' '.join(c)} = {v}" for c, v in sorted(route.conditions().items()))
+        methods = "/".join(sorted(route.methods))
+        found.append(Fact(subject, "takes", f"{methods or 'any method'} {route.pattern} {asks}".strip(), False))
+        found.append(Fact(subject, "gives the class", route.grade, False))
+        found += _narrowed(subject, grade, settings)
+    return found
+
+
+def _class_facts(grade: RequestClass, settings: Settings) -> list[Fact]:
+    subject = f"class {grade.name}"
+    found = [
+        Fact(subject, "is wanted within", show_duration(grade.aim_us), True),
+        Fact(subject, "is given up after", show_duration(grade.deadline_us), True),
+        Fact(subject, "is worth", f"{grade.credit:g}, {grade.late_share:g} of it when late", True),
+    ]
+    return found + [Fact(subject, what, value, True) for what, value in may_do(grade, settings).items()]
+
+
+def _narrowed(subject: str, grade: RequestClass, settings: Settings) -> list[Fact]:
+    """What a route or a class rule makes tighter than the class itself."""
+    found = [Fact(subject, "is served by", describe_pool(grade), False)]
+    if grade.variant_of:
+        found.append(Fact(subject, "is given up after", show_duration(grade.deadline_us), False))
+        found.append(Fact(subject, "may have second copies", str(grade.copies).lower(), False))
+        found += [Fact(subject, what, value, False) for what, value in may_do(grade, settings).items()]
+    return found
+
+
+class Difference(NamedTuple):
+    subject: str
+    what: str
+    old: str  # "" where it is new
+    new: str  # "" where it is gone
+    restart: bool
+
+
+def differences(old: Config, new: Config) -> list[Difference]:
+    """What would behave differently, and what of it a reload can't bring."""
+    before = {(f.subject, f.what): f for f in facts(old)}
+    after = {(f.subject, f.what): f for f in facts(new)}
+    found = []
+    for key in dict.fromkeys([*before, *after]):
+        one, two = before.get(key), after.get(key)
+        if (one.value if one else "") != (two.value if two else ""):
+            restart = (two or one).restart  # type: ignore[union-attr]
+            found.append(Difference(*key, one.value if one else "", two.value if two else "", restart))
+    if not any(d.restart for d in found):
+        told = needs_restart(old, new)
+        found += [Difference("the sidecar", f"is told another {key}", "...", "...", True) for key in told]
+    return found
+
+
+def requests_of(words: Sequence[str]) -> tuple[str, bytes, bytes]:
+    """Method, path and query of a request line such as `POST /despacho/a?b=1`. Raises ValueError."""
+    if len(words) not in (2, 3) or (len(words) == 3 and not words[2].startswith("HTTP/")):
+        raise ValueError('a request is written like "POST /despacho/a"')
+    path, _, query = words[1].encode("utf-8").partition(b"?")
+    return words[0], path, query
+
+
+def keyed_hint(grade: RequestClass) -> str:
+    if grade.effect is not Effect.DEDUPLICATED:
+        return ""
+    group = {Group.ALL: "all endpoints", Group.ZONE: "those of one zone", Group.CELL: "those of one cell"}[grade.group]
+    return f"{group} drop a repeat of its key for {show_duration(grade.dedup_window_us)}"
--- /dev/null
+++ b/eiderhub/config/load.py
@@ -0,0 +1,131 @@
+"""From one sidecar's two files to all findings, and to the configuration that a sidecar starts from.
+
+The checker, the start with an operator's file and every reload go through `examine`: what one accepts, all accept.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from eiderhub.config import sidecar_file
+from eiderhub.config.files import Unreadable, read_bytes, read_json, read_text, read_toml
+from eiderhub.config.findings import Finding, Report, Spot, sort
+from eiderhub.config.operator import owners_of, read_tables
+from eiderhub.config.pair import Pair
+from eiderhub.routing.plan import Plan, plain
+from eiderhub.sidecar.config import Config, ConfigError, config_from
+
+OPERATOR_TABLES = ("routing", "classes", "pools", "routes")  # those that make a plan
+
+
+@dataclass(frozen=True)
+class Examined:
+    """One sidecar's files as they were read, with all that was found."""
+
+    pair: Pair
+    document: Any  # the sidecar's file as it was decoded
+    config: Config | None  # None where there are errors, or no sidecar's file
+
+    @property
+    def findings(self) -> list[Finding]:
+        return sort([finding for report in self.pair.reports for finding in report.findings])
+
+    @property
+    def errors(self) -> list[Finding]:
+        return sort([finding for report in self.pair.reports for finding in report.errors])
+
+
+class Source(NamedTuple):
+    """A file's name, and what stood in it at one moment: nothing is read twice."""
+
+    name: str
+    content: bytes
+
+    @staticmethod
+    def of(path: str | None) -> Source | None:
+        return None if path is None else Source(path, read_bytes(path))
+
+
+def examine(sidecar: Source | None, operator: Source | None, environ: Mapping[str, str] | None = None) -> Examined:
+    """Check a sidecar's file, an operator's file, or both together.
+
+    `environ` stands above the file, as at a start; without it an address that only a start tells is no finding.
+    """
+    own = Report(sidecar.name if sidecar else "")
+    theirs = Report(operator.name if operator else "")
+    raw = _decode_json(sidecar, own)
+    read = sidecar_file.DOCUMENT.read(raw, Spot(own)) if raw is not None else {}
+    document: dict[str, Any] = read if isinstance(read, dict) else {}
+    tables = _decode_toml(operator, theirs)
+    pair = Pair(document, Spot(own), read_tables(tables, Spot(theirs)), Spot(theirs))
+    if document:
+        sidecar_file.check(document, pair.sidecar)
+    for owner in owners_of(tables):
+        owner.check(pair)
+    config = None
+    if raw is not None and not own.errors and not theirs.errors:
+        config = _config(raw, pair, environ)
+    return Examined(pair, raw, config)
+
+
+def _decode_json(source: Source | None, report: Report) -> Any:
+    text = read_text(source.content, Spot(report)) if source else None
+    return None if text is None else read_json(text, report)
+
+
+def _decode_toml(source: Source | None, report: Report) -> dict[str, Any]:
+    text = read_text(source.content, Spot(report)) if source else None
+    return (read_toml(text, report) if text is not None else None) or {}
+
+
+ANYWHERE = {"GW_LISTEN": "127.0.0.1:0", "GW_DISCOVERY": "127.0.0.1:1"}  # for files whose start tells these
+
+
+def _config(raw: Any, pair: Pair, environ: Mapping[str, str] | None) -> Config | None:
+    """What a sidecar starts from; whatever its own reading still refuses is a finding like the others."""
+    if environ is None:
+        environ = {key: value for key, value in ANYWHERE.items() if key[3:].lower() not in raw}
+    try:
+        config = config_from(raw, environ)
+        return dataclasses.replace(config, plan=make_plan(pair, config))
+    except (ConfigError, ValueError) as error:
+        pair.sidecar.error("start", str(error), "No sidecar starts from it", "Mend it")
+        return None
+
+
+def make_plan(pair: Pair, config: Config) -> Plan:
+    if not any(name in pair.tables for name in OPERATOR_TABLES):
+        return plain(config.settings)
+    from eiderhub.routing import options  # off where the file says nothing of it
+
+    return options.make_plan(pair.tables, config.settings)
+
+
+def checked(environ: Mapping[str, str], operator: str | None) -> Config:
+    """The configuration for a start or a reload. Raises `ConfigError` with the first error that was found."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: missing")
+    try:
+        examined = examine(Source.of(path), Source.of(operator), environ)
+    except Unreadable as error:
+        raise ConfigError(str(error)) from None
+    if examined.errors:
+        raise ConfigError(str(examined.errors[0]))
+    if examined.config is None:
+        raise ConfigError(f"{path}: must be an object")
+    return examined.config
+
+
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """What a running sidecar can't take up: only discovery, the routes and their pools may change while it runs."""
+    changed = [
+        key for key in ("name", "listen", "bounds") if getattr(old, key) != getattr(new, key)
+    ]
+    for field in dataclasses.fields(old.settings):
+        if getattr(old.settings, field.name) != getattr(new.settings, field.name):
+            changed.append(f"settings.{field.name}")
+    return changed
--- /dev/null
+++ b/eiderhub/config/operator.py
@@ -0,0 +1,53 @@
+"""The operator's file (TOML): one table for each feature, declared and checked by the package that owns it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from importlib import import_module
+from typing import Any, Protocol
+
+from eiderhub.config.findings import Spot
+from eiderhub.config.pair import Pair
+from eiderhub.config.schema import BAD, Kind, did_you_mean
+
+# Which module owns a table. It is imported only where the file names one of its tables, so that what is off costs
+# nothing; it brings `TABLES` (what may stand there) and `check(pair)` (what is well-formed and wrong).
+OWNERS = {
+    "limits": "eiderhub.sidecar.options",
+    "classes": "eiderhub.routing.options",
+    "pools": "eiderhub.routing.options",
+    "routing": "eiderhub.routing.options",
+    "routes": "eiderhub.routing.options",
+}
+
+
+class Owner(Protocol):
+    TABLES: dict[str, Kind]
+
+    def check(self, pair: Pair) -> None: ...
+
+
+def owner(table: str) -> Owner:
+    module: Any = import_module(OWNERS[table])
+    return module  # type: ignore[no-any-return]
+
+
+def read_tables(document: dict[str, Any], spot: Spot) -> dict[str, Any]:
+    """The tables of a decoded file, each read by its owner; what can't be read is left out, with findings."""
+    tables = {}
+    for name, value in document.items():
+        if name not in OWNERS:
+            (spot / name).error(
+                "unknown-key", "the table is not known", "What it says would not be done", did_you_mean(name, OWNERS)
+            )
+            continue
+        read = owner(name).TABLES[name].read(value, spot / name)
+        if read is not BAD:
+            tables[name] = read
+    return tables
+
+
+def owners_of(document: dict[str, Any]) -> Iterator[Owner]:
+    """The owners of a file's tables, each once."""
+    for module in sorted({OWNERS[name] for name in document if name in OWNERS}):
+        yield import_module(module)
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -95,6 +95,7 @@
     served_on: frozenset[str] | None = None  # the only kinds of machine
     labels: frozenset[str] = frozenset()  # "name=value" facts that an endpoint must have, all of them
     max_attempts: int = 0  # fewer than the site's; 0: the site's
+    copies: bool = True  # whether a second copy may go out, where the class and the site allow it
     variant_of: str = ""  # the class that this one is a narrower form of, and ranks as; "": none
 
     def __post_init__(self) -> None:
--- a/eiderhub/routing/plan.py
+++ b/eiderhub/routing/plan.py
@@ -38,6 +38,7 @@
     table: Table | None = None
     grades: Mapping[str, RequestClass] = field(default_factory=dict)  # by the route's name
     first_part: Mapping[bytes, RequestClass] = field(default_factory=dict)  # classes and their aliases
+    tighter_us: Mapping[str, int] = field(default_factory=dict)  # deadlines that routes make tighter, by variant
 
     @property
     def variants(self) -> list[RequestClass]:
@@ -60,8 +61,19 @@
     return own & pool
 
 
-def variant(grade: RequestClass, route: Route, pool: PoolRule | None) -> RequestClass:
-    """The class as this route narrows it, under a name that tells all of it: equal names mean equal variants."""
+@dataclass(frozen=True, slots=True)
+class ClassRule:
+    """What an operator narrows for a whole class."""
+
+    retries: bool = True
+    copies: bool = True
+
+
+FREE = ClassRule()
+
+
+def variant(grade: RequestClass, route: Route | None, pool: PoolRule | None, rule: ClassRule = FREE) -> RequestClass:
+    """The class as a rule and a route narrow it, under a name that tells all of it: equal names, equal variants."""
     parts = []
     changes: dict[str, object] = {}
     if pool is not None:
@@ -71,13 +83,17 @@
         for key, names in (("zones", zones), ("kinds", kinds), ("labels", labels or None)):
             if names is not None:
                 parts.append(f"{key}={','.join(sorted(names))}")
-    if route.deadline_us and route.deadline_us < grade.deadline_us:
+    if route is not None and 0 < route.deadline_us < grade.deadline_us:
         changes["deadline_us"] = route.deadline_us
         changes["aim_us"] = min(grade.aim_us, route.deadline_us)
         parts.append(f"deadline={route.deadline_us}us")
-    if route.attempts:
-        changes["max_attempts"] = route.attempts
-        parts.append(f"attempts={route.attempts}")
+    attempts = (route.attempts if route is not None else 0) if rule.retries else 1
+    if attempts:
+        changes["max_attempts"] = attempts
+        parts.append(f"attempts={attempts}")
+    if not rule.copies and grade.copies:
+        changes["copies"] = False
+        parts.append("copies=no")
     if not parts:
         return grade
     name = f"{grade.name}[{' '.join(parts)}]"
@@ -95,20 +111,25 @@
     pools: Mapping[str, PoolRule],
     default: str = FIRST_PART,
     aliases: Mapping[str, str] | None = None,
+    rules: Mapping[str, ClassRule] | None = None,
 ) -> Plan:
     """Compile routes. Raises KeyError for a class or pool that is not there and `TableError` for no table."""
+    rules = rules or {}
     classes = {c.name: c for c in settings.classes}
-    grades = {}
-    for route in routes:
-        grades[route.name] = variant(classes[route.grade], route, pools[route.pool] if route.pool else None)
-    variants = {c.name: c for c in grades.values() if c.variant_of}
-    first_part = {c.name.encode(): c for c in settings.classes}
+    by_default = {name: variant(c, None, None, rules.get(name, FREE)) for name, c in classes.items()}
+    grades = {
+        r.name: variant(classes[r.grade], r, pools[r.pool] if r.pool else None, rules.get(r.grade, FREE))
+        for r in routes
+    }
+    first_part = {name.encode(): c for name, c in by_default.items()}
     for alias, name in (aliases or {}).items():
-        first_part.setdefault(alias.encode(), classes[name])
+        first_part.setdefault(alias.encode(), by_default[name])
+    variants = {c.name: c for c in (*by_default.values(), *grades.values()) if c.variant_of}
     return Plan(
         dataclasses.replace(settings, classes=(*settings.classes, *variants.values())),
         default,
         Table(routes) if routes else None,
         grades,
         first_part,
+        {c.name: c.deadline_us for c in variants.values() if c.deadline_us < classes[c.variant_of].deadline_us},
     )
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 
 import uvloop
 
@@ -79,21 +80,55 @@
     await asyncio.sleep(FLUSH_S)
 
 
-def reload(host: Host) -> None:
-    """Read the configuration again; a bad one is logged and changes nothing."""
-    try:
-        host.reload(load(os.environ))
-    except Exception as error:  # whatever is wrong with a file, it must not end a process that serves
-        log.error("the configuration is not taken: %s", error)
+class Reloader:
+    """SIGHUP: reads and checks the files beside the loop, one reading at a time, and takes the newest whole.
 
+    A check of a large file takes a good part of a second, in which every request would stand still. What it
+    needs is imported with the first reload: a sidecar that gets none has no use for it.
+    """
 
-async def serve(config: Config) -> None:
+    def __init__(self, host: Host, config: Config, operator: str | None) -> None:
+        self.host = host
+        self.config = config
+        self.operator = operator
+        self._wanted = False
+        self._task: asyncio.Task[None] | None = None
+
+    def ask(self) -> None:
+        self._wanted = True
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        while self._wanted:
+            self._wanted = False
+            try:
+                self._take(await asyncio.to_thread(self._read))
+            except Exception as error:  # whatever is wrong with a file, it must not end a process that serves
+                log.error("the configuration is not taken: %s", error)
+        self._task = None
+
+    def _read(self) -> Config:
+        from eiderhub.config.load import checked, needs_restart
+
+        new = checked(os.environ, self.operator)
+        changed = needs_restart(self.config, new)
+        if changed:
+            raise ConfigError(f"a restart is needed for {', '.join(changed)}; nothing has changed")
+        return new
+
+    def _take(self, new: Config) -> None:
+        self.host.reload(new)
+        self.config = new
+
+
+async def serve(config: Config, operator: str | None) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
-    loop.add_signal_handler(signal.SIGHUP, reload, host)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(host, config, operator).ask)
     server = Server(host, config.bounds.callers)
     await server.bind(config.listen.host, config.listen.port)
     host.start()
@@ -111,16 +146,30 @@
         task.cancel()
 
 
-def main() -> int:
+def _start(operator: str | None) -> Config:
+    if operator is None:
+        return load(os.environ)
+    from eiderhub.config.load import checked  # not for a sidecar without an operator's file
+
+    return checked(os.environ, operator)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one sidecar: `[--operator FILE]`, all else by the environment. The exit status is 0 after a drain."""
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    if words and (len(words) != 2 or words[0] != "--operator"):
+        print("usage: eiderhub sidecar [--operator FILE]; GW_CONFIG names the sidecar's file", file=sys.stderr)
+        return 2
+    operator = words[1] if words else None
     handler = logging.StreamHandler()
     handler.addFilter(Sparse())
     logging.basicConfig(
         level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", handlers=[handler]
     )
     try:
-        config = load(os.environ)
+        config = _start(operator)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, operator))
     except (ConfigError, OSError) as error:
         print(f"eiderhub.sidecar: {error}", file=sys.stderr)
         return 1
--- a/eiderhub/sidecar/bounds.py
+++ b/eiderhub/sidecar/bounds.py
@@ -8,6 +8,7 @@
 CALLERS_SHARE = 0.55  # of the other descriptors; twice what callers with requests open may hold
 BASE_MB = 24  # the process without what it holds for others, its connections included
 HELD_SHARE = 0.4  # of the memory above that, for requests and answers: objects round the bytes take as much
+ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
 LEAST_HELD = 1 << 20  # bytes, however small the limit: below it nothing could be served
 
 
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -53,16 +53,13 @@
         raise ConfigError(f"seed: no hexadecimal number: {value!r}") from None
 
 
-def _document(path: str) -> dict[str, Any]:
+def _document(path: str) -> Any:
     try:
-        document = json.loads(Path(path).read_text(encoding="utf-8"))
+        return json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"GW_CONFIG: {path}: {error.strerror}") from None
-    except ValueError:
+    except (ValueError, RecursionError):
         raise ConfigError(f"GW_CONFIG: {path}: no JSON") from None
-    if not isinstance(document, dict):
-        raise ConfigError(f"GW_CONFIG: {path}: must be an object")
-    return document
 
 
 def _limit(document: dict[str, Any], key: str, default: int) -> float:
@@ -74,15 +71,21 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Read the configuration, at the start or again for a reload.
+    """Read the configuration that the environment names, as the platform gives it. Raises `ConfigError`."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: missing")
+    return config_from(_document(path), environ)
+
+
+def config_from(document: Any, environ: Mapping[str, str]) -> Config:
+    """A configuration from the decoded file. Raises `ConfigError`.
 
     The variables stand above what the file says of the same, but for discovery: the file may be replaced
     while the process runs, the environment can't.
     """
-    path = environ.get("GW_CONFIG")
-    if not path:
-        raise ConfigError("GW_CONFIG: missing")
-    document = _document(path)
+    if not isinstance(document, dict):
+        raise ConfigError("GW_CONFIG: must be an object")
     try:
         settings = settings_from(document.get("settings"))
     except ValueError as error:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -15,13 +15,12 @@
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
 from eiderhub.routing.plan import plain
-from eiderhub.sidecar.bounds import Budget
+from eiderhub.sidecar.bounds import ANSWER_MARGIN_US, Budget
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream
 
-ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
 log = logging.getLogger(__name__)
 
 
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -441,8 +441,8 @@
             raise Rejected(400, "req-retry: bad value")
         hint_us = _number(fields, b"req-cost", 1 << 50)
         wait_us = deadline_ms * 1000
-        if grade.variant_of:  # a route may be tighter than the client; a class's own time never cuts a client's
-            wait_us = min(wait_us, grade.deadline_us)
+        # A route may be tighter than the client; a class's own time never cuts a client's.
+        wait_us = min(wait_us, self.host.plan.tighter_us.get(grade.name, wait_us))
         if request_id in self.open_ids:
             # Two answers would be owed under one id, and endpoints could not tell its attempts apart.
             raise Rejected(409, "req-id: this request is open")
--- /dev/null
+++ b/standins/discovery.py
@@ -0,0 +1,90 @@
+"""A stand-in for the platform's discovery: the whole list, and a watch that waits for a change."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from standins.http import answer, read_message
+
+
+def row(endpoint: str, address: str, lifecycle: str = "ready", started_ms: int = 0, **more: Any) -> dict[str, Any]:
+    """One entry of a list, in the platform's form."""
+    return {
+        "instanceId": endpoint,
+        "hostPort": address,
+        "zone": "a",
+        "machineType": "m",
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": started_ms,
+        **more,
+    }
+
+
+def listing(generation: int, reset: bool, *rows: dict[str, Any]) -> bytes:
+    return json.dumps({"generation": generation, "reset": reset, "instances": rows}).encode()
+
+
+class Discovery:
+    """Answers with the list as it stands; a change wakes the watches."""
+
+    def __init__(self) -> None:
+        self.generation = 1
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Discovery:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    def stop(self) -> None:
+        self.server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def tell(self, entry: dict[str, Any]) -> None:
+        """A change: an endpoint that is new, or that has another state."""
+        self.generation += 1
+        self.changes.append((self.generation, entry))
+        if entry["lifecycle"] == "gone":
+            self.rows.pop(entry["instanceId"], None)
+        else:
+            self.rows[entry["instanceId"]] = entry
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while True:
+                message = await read_message(reader)
+                writer.write(answer(200, await self._list(message.target)))
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _list(self, target: str) -> bytes:
+        query = parse_qs(urlsplit(target).query)
+        if "after" not in query:
+            return listing(self.generation, True, *self.rows.values())
+        after = int(query["after"][0])
+        if after >= self.generation:
+            changed = self._changed
+            try:
+                async with asyncio.timeout(int(query.get("wait_ms", ["0"])[0]) / 1000):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        news = [entry for generation, entry in self.changes if generation > after]
+        return listing(self.generation, False, *news)
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -22,6 +22,10 @@
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.server import Server
+from standins.discovery import listing, row
+from standins.http import Message, answer, read_message
+
+__all__ = ["Message", "listing", "row"]  # what the tests take from the stand-ins, and this module uses itself
 
 PATIENCE_S = 10.0  # a test that waits longer for an event has failed
 
@@ -75,29 +79,6 @@
         runner.run(bounded())
 
 
-class Message:
-    """A whole HTTP message read off a connection."""
-
-    def __init__(self, first: bytes, headers: dict[str, str], body: bytes) -> None:
-        self.first = first.decode()
-        self.headers = headers
-        self.body = body
-
-    @property
-    def status(self) -> int:
-        return int(self.first.split(" ")[1])
-
-
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    head = await reader.readuntil(b"\r\n\r\n")
-    first, *lines = head[:-4].split(b"\r\n")
-    headers = {}
-    for line in lines:
-        name, _, value = line.decode().partition(": ")
-        headers[name.lower()] = value
-    return Message(first, headers, await reader.readexactly(int(headers.get("content-length", "0"))))
-
-
 class Asked:
     """A request as an endpoint or discovery got it; the test says what comes back."""
 
@@ -107,8 +88,7 @@
         self.connection = connection  # which of the server's connections it came on
 
     def reply(self, status: int = 200, body: bytes = b"done", *headers: str) -> None:
-        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
-        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self.writer.write(answer(status, body, *headers))
 
     def reset(self) -> None:
         self.writer.transport.abort()
@@ -144,23 +124,6 @@
         return await self.asked.get()
 
 
-def row(endpoint: str, address: str, lifecycle: str = "ready", started_ms: int = 0) -> dict[str, Any]:
-    return {
-        "instanceId": endpoint,
-        "hostPort": address,
-        "zone": "a",
-        "machineType": "m",
-        "cell": 0,
-        "lifecycle": lifecycle,
-        "weight": 1.0,
-        "startedAtMs": started_ms,
-    }
-
-
-def listing(generation: int, reset: bool, *rows: dict[str, Any]) -> bytes:
-    return json.dumps({"generation": generation, "reset": reset, "instances": rows}).encode()
-
-
 class Client:
     """A caller's connection."""
 
