--- a/eiderhub/config/across.py
+++ b/eiderhub/config/across.py
@@ -60,6 +60,8 @@
     """A call goes on down the chain: what one tier takes for unsafe, no other may send again."""
     strictest = max(same, key=lambda c: STRICTNESS[c.row["Effect"]])
     for one in same:
+        if one.spot.report is strictest.spot.report:
+            continue  # two names in one file are that file's own finding
         if STRICTNESS[one.row["Effect"]] < STRICTNESS[strictest.row["Effect"]]:
             (one.spot / "Effect").error(
                 "effects-differ",
--- a/eiderhub/config/files.py
+++ b/eiderhub/config/files.py
@@ -35,27 +35,33 @@
         number = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
     except (OSError, ValueError) as error:
         raise Unreadable(f"{path}: {getattr(error, 'strerror', None) or error}") from None
-    with open(number, "rb", buffering=0) as file:
+    try:
         before = os.fstat(number)
         if not stat.S_ISREG(before.st_mode):
             raise Unreadable(f"{path}: {'a folder' if stat.S_ISDIR(before.st_mode) else 'no regular file'}")
         if before.st_size > MOST_BYTES:
             raise Unreadable(f"{path}: {before.st_size} bytes; {MOST_BYTES} are the most")
-        parts = []
-        left = MOST_BYTES + 1
-        while left > 0 and (part := file.read(left)):
-            parts.append(part)
-            left -= len(part)
+        content = _read_all(number)
         after = os.fstat(number)
-        try:
-            replaced = os.stat(path).st_ino != after.st_ino
-        except OSError:
-            replaced = True
-    content = b"".join(parts)
+    finally:
+        os.close(number)
+    try:
+        replaced = os.stat(path).st_ino != after.st_ino
+    except OSError:
+        replaced = True
     same = (before.st_mtime_ns, before.st_size) == (after.st_mtime_ns, after.st_size)
     return content if same and not replaced and len(content) == after.st_size else None
 
 
+def _read_all(number: int) -> bytes:
+    parts = []
+    left = MOST_BYTES + 1
+    while left > 0 and (part := os.read(number, left)):
+        parts.append(part)
+        left -= len(part)
+    return b"".join(parts)
+
+
 def read_text(content: bytes, spot: Spot) -> str | None:
     """UTF-8 with no mark ahead; the finding names the line of the first byte that is not."""
     try:
@@ -175,12 +181,20 @@
 
 _KEY = re.compile(r"""\s*((?:[A-Za-z0-9_-]+|"(?:[^"\\]|\\.)*"|'[^']*')(?:\s*\.\s*(?:[A-Za-z0-9_-]+|"(?:[^"\\]|\\.)*"|'[^']*'))*)\s*=""")  # noqa: E501
 _HEADER = re.compile(r"\s*(\[\[?)\s*(.*?)\s*\]\]?\s*(?:#.*)?$")
-_STEP = re.compile(r"""\s*(?:([A-Za-z0-9_-]+)|"((?:[^"\\]|\\.)*)"|'([^']*)')\s*(?:\.|$)""")
 _QUIET = re.compile(r'''"""|\'\'\'|"(?:[^"\\\n]|\\.)*"|'[^'\n]*'|#.*|[\[\]{}]''')
 
 
 def _steps(text: str) -> tuple[str, ...]:
-    return tuple(m[1] or m[2] or m[3] or "" for m in _STEP.finditer(text))
+    """The parts of a dotted key, quotes and escapes undone by the reader of the document itself."""
+    try:
+        value: Any = tomllib.loads(f"{text} = 0")
+    except tomllib.TOMLDecodeError:
+        return (text,)
+    found = []
+    while isinstance(value, dict):
+        ((step, value),) = value.items()
+        found.append(step)
+    return tuple(found)
 
 
 def _toml_keys(text: str) -> dict[Path, int]:
--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -341,6 +341,13 @@
                 "duplicate", f"the tenant {name!r} is there twice", "No sidecar starts from it", "Keep one of them"
             )
         seen.add(name)
+        if name and not re.fullmatch(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?", name):
+            (spot / i / "Name").error(
+                "tenant-name",
+                f"{name!r} can't be the value of a header",
+                "No request could name the tenant",
+                "Use letters, digits and signs of ASCII",
+            )
     total = math.fsum(row.get("Share", 0.0) for row in rows)
     if total > SHARES_MOST:
         spot.error(
--- a/eiderhub/config/write.py
+++ b/eiderhub/config/write.py
@@ -20,6 +20,7 @@
 from eiderhub.config.describe import Application
 from eiderhub.config.findings import Finding, Path, Report, Severity, Spot, sort
 from eiderhub.config.load import Examined, Source, examine
+from eiderhub.config.toml import toml_key, toml_table, toml_value
 from eiderhub.config.units import show_duration
 from eiderhub.routing.options import EFFECTS
 
@@ -239,47 +240,23 @@
     yield "[limits]"
     if table["loopback"] is None:
         yield f"# {'The description listens on loopback: nothing else should.' if loopback else 'Not on loopback.'}"
-    yield f"listen = {_value('loopback' if asked else 'any')}"
+    yield f"listen = {toml_value('loopback' if asked else 'any')}"
     yield f"# {table['rate']:g} requests a second over {table['sidecars']} sidecars; descriptors are held against it."
-    yield f"rate = {_value(round(table['rate'] / table['sidecars'], 3))}"
+    yield f"rate = {toml_value(round(table['rate'] / table['sidecars'], 3))}"
     for name, row in table["classes"].items():
         yield ""
-        yield f"[classes.{_key(name)}]"
+        yield f"[classes.{toml_key(name)}]"
         yield "# Said once more, so that a change of the sidecar's file alone is found."
-        yield f"repeat = {_value(row['repeat'])}"
+        yield f"repeat = {toml_value(row['repeat'])}"
         if row["remembered"]:
-            yield f"remembered = {_value(show_duration(row['remembered']))}"
+            yield f"remembered = {toml_value(show_duration(row['remembered']))}"
         if row["aliases"]:
-            yield f"aliases = {_value(list(row['aliases']))}"
+            yield f"aliases = {toml_value(list(row['aliases']))}"
     yield ""
     yield "[routing]"
     yield "# What becomes of a request that no route takes."
-    yield f"default = {_value(table['default'])}"
+    yield f"default = {toml_value(table['default'])}"
     for name, pool in raw.get("pools", {}).items():
-        yield from _table(f"[pools.{_key(name)}]", pool)
+        yield from toml_table(f"[pools.{toml_key(name)}]", pool)
     for route in raw.get("routes", []):
-        yield from _table("[[routes]]", route)
-
-
-def _table(header: str, table: dict[str, Any]) -> Iterator[str]:
-    yield ""
-    yield header
-    for key, value in table.items():
-        yield f"{_key(key)} = {_value(value)}"
-
-
-def _key(name: str) -> str:
-    return name if re.fullmatch(r"[A-Za-z0-9_-]+", name) else _value(name)
-
-
-def _value(value: Any) -> str:
-    """A value in TOML; what can stand in a description that passed its check."""
-    if isinstance(value, str):
-        return json.dumps(value, ensure_ascii=False).replace("\x7f", "\\u007f")
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    if isinstance(value, dict):
-        return "{ " + ", ".join(f"{_key(k)} = {_value(v)}" for k, v in value.items()) + " }" if value else "{}"
-    if isinstance(value, list):
-        return "[" + ", ".join(_value(v) for v in value) + "]"
-    return repr(value)
+        yield from toml_table("[[routes]]", route)
--- a/eiderhub/routing/conflicts.py
+++ b/eiderhub/routing/conflicts.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
-from eiderhub.routing.table import PARAM, Condition, Pattern, Route
+from eiderhub.routing.table import EVERYTHING, PARAM, Condition, Pattern, Route
 
 
 class Conflict(NamedTuple):
@@ -93,9 +93,16 @@
     return sorted(found)
 
 
+def _apart(a: Route, b: Route) -> bool:
+    """No protocol has both a path or a method of HTTP's and a service with calls."""
+    return bool(a.service or a.call) and (b.pattern != EVERYTHING or bool(b.methods))
+
+
 def _between(
     a: Route, b: Route, own: list[Claim], others: list[Claim], known: set[Claim]
 ) -> tuple[str, str]:
+    if _apart(a, b) or _apart(b, a):
+        return "", ""
     differ = a.outcome() != b.outcome()
     for claim in own:
         for other in others:
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -120,6 +120,7 @@
     def _take(self, new: Config) -> None:
         self.host.reload(new)
         self.config = new
+        log.info("the configuration is taken")
 
 
 async def serve(config: Config, operator: str | None) -> None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -66,7 +66,9 @@
 
 
 def _report(callers: Callers, endpoints: list[Endpoint], ledger: Ledger, status: int) -> int:
-    print(f"\n{'class':<10} {'asked':>6} {'served':>7} {'refused':>8} {'failed':>7} {'ran twice':>10} {'median':>9} {'99th':>9}")
+    columns = ("asked", "served", "refused", "failed", "ran twice", "median", "99th")
+    widths = (6, 7, 8, 7, 10, 9, 9)
+    print(f"\n{'class':<10} " + " ".join(f"{c:>{w}}" for c, w in zip(columns, widths, strict=True)))
     unanswered = 0
     for kind in KINDS:
         grade = kind.target.split("/")[1]
--- /dev/null
+++ b/tests/config/test_files.py
@@ -0,0 +1,220 @@
+"""Files of every sort: a value, a finding or `Unreadable`, and never a wait."""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from eiderhub.config.check import check
+from eiderhub.config.command import main
+from eiderhub.config.files import MOST_BYTES, Unreadable, read_bytes, read_json, read_toml
+from eiderhub.config.findings import Path as KeyPath
+from eiderhub.config.findings import Report
+from eiderhub.config.toml import toml_key, toml_value
+
+
+def test_a_pipe_is_refused_and_not_waited_for(tmp_path: Path) -> None:
+    os.mkfifo(tmp_path / "x.json")
+    with pytest.raises(Unreadable, match="no regular file"):
+        read_bytes(str(tmp_path / "x.json"))
+
+
+def test_a_folder_and_a_missing_file_are_told_apart(tmp_path: Path) -> None:
+    with pytest.raises(Unreadable, match="a folder"):
+        read_bytes(str(tmp_path))
+    with pytest.raises(Unreadable, match="No such file"):
+        read_bytes(str(tmp_path / "none.json"))
+    with pytest.raises(Unreadable, match="null"):
+        read_bytes("a\0b.json")
+
+
+def test_a_huge_file_is_not_read(tmp_path: Path) -> None:
+    path = tmp_path / "x.json"
+    with path.open("wb") as file:
+        file.truncate(100 << 20)
+    with pytest.raises(Unreadable, match=f"{100 << 20} bytes; {MOST_BYTES} are the most"):
+        read_bytes(str(path))
+
+
+def test_a_file_that_changes_between_reads_is_read_whole_or_not_at_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One that is replaced in the middle is read again; one that never stands still is refused."""
+    path = tmp_path / "x.json"
+    path.write_text("1")
+    real, times = os.fstat, iter(range(1000))
+
+    def replaced(number: int) -> os.stat_result:
+        found = real(number)
+        if next(times) < changes:
+            fresh = tmp_path / "fresh"
+            fresh.write_text("22")
+            fresh.rename(path)
+        return found
+
+    monkeypatch.setattr(os, "fstat", replaced)
+    changes = 2
+    assert read_bytes(str(path)) == b"22"
+    times, changes = iter(range(1000)), 1000
+    with pytest.raises(Unreadable, match="changes while it is read"):
+        read_bytes(str(path))
+
+
+@pytest.mark.parametrize(
+    ("name", "content", "code"),
+    [
+        ("x.json", b"[" * 10_000 + b"]" * 10_000, "nesting"),
+        ("x.json", b'{"a": ' * 10_000 + b"1" + b"}" * 10_000, "nesting"),
+        ("x.toml", b"a = " + b"[" * 10_000 + b"]" * 10_000, "nesting"),
+        ("x.json", b'{"seed": ' + b"9" * 5000 + b"}", "number"),
+        ("x.toml", b"a = " + b"9" * 5000, "number"),
+        ("x.json", b'{"a": "\0"}', "encoding"),
+        ("x.json", b"\xff\xfe{\0}\0", "encoding"),
+    ],
+)
+def test_well_or_ill_formed_it_is_one_clear_finding(tmp_path: Path, name: str, content: bytes, code: str) -> None:
+    (tmp_path / name).write_bytes(content)
+    result = check([str(tmp_path / name)])
+    assert [finding.code for finding in result.findings] == [code]
+    assert result.status == 1
+
+
+def test_the_exit_status_tells_unreadable_from_bad_from_sound(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    base = Path(__file__).parent.parent / "corpus" / "base.json"
+    assert main(["check", str(base)]) == 0
+    (tmp_path / "bad.json").write_text("{}")
+    assert main(["check", str(tmp_path / "bad.json")]) == 1
+    assert main(["check", str(tmp_path / "bad.json"), str(tmp_path / "none.json")]) == 2
+    assert main(["check", str(tmp_path / "sub")]) == 2
+    (tmp_path / "sub").mkdir()
+    assert main(["check", str(tmp_path / "sub")]) == 2
+    assert main(["check", str(tmp_path / "a.yaml")]) == 2
+    assert "neither .json nor .toml" in capsys.readouterr().out
+
+
+def test_json_for_machines_holds_every_part(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "bad.json").write_text('{\n "seed": 7\n}')
+    assert main(["check", "--json", str(tmp_path / "bad.json")]) == 1
+    told = json.loads(capsys.readouterr().out)
+    first = next(f for f in told["findings"] if f["key"] == "seed")
+    assert first == {
+        "file": str(tmp_path / "bad.json"),
+        "line": 2,
+        "key": "seed",
+        "code": "value",
+        "severity": "error",
+        "what": "7 is not a hexadecimal number in quotes",
+        "follows": "No sidecar starts from it",
+        "do": "Write a hexadecimal number in quotes",
+    }
+
+
+# --- lines ---
+
+keys = st.text(st.characters(codec="utf-8", exclude_categories=("Cs", "Cc")), min_size=1, max_size=4)
+leaves = st.one_of(st.booleans(), st.integers(-9, 9), st.text(max_size=5))
+documents = st.recursive(
+    leaves,
+    lambda inner: st.one_of(st.lists(inner, max_size=3), st.dictionaries(keys, inner, max_size=3)),
+    max_leaves=12,
+)
+tables = st.dictionaries(
+    keys, st.one_of(leaves, st.lists(leaves, max_size=3), st.dictionaries(keys, leaves, max_size=3)), max_size=5
+)
+
+
+def paths(value: object, path: KeyPath = ()) -> list[KeyPath]:
+    found = [path]
+    steps = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for step, inner in steps:
+        found += paths(inner, (*path, step))
+    return found
+
+
+@given(documents)
+def test_every_key_of_a_json_document_has_its_line(value: object) -> None:
+    text = json.dumps(value, indent=0, ensure_ascii=False)
+    report = Report("x")
+    assert read_json(text, report) == value
+    assert report.findings == []
+    assert set(report.lines) == set(paths(value))
+    order = [report.lines[path] for path in paths(value)]
+    assert order == sorted(order)
+    lines = text.split("\n")
+    for path in paths(value):
+        if path and isinstance(path[-1], str):
+            assert json.dumps(path[-1], ensure_ascii=False) in lines[report.lines[path] - 1]
+
+
+@given(tables)
+def test_every_key_of_a_toml_document_has_its_line(value: dict[str, object]) -> None:
+    """Each value as one line, or as a table with a header of its own; strings may hold anything."""
+    text: list[str] = []
+    expected: dict[KeyPath, int] = {}
+    plain = {k: v for k, v in value.items() if not isinstance(v, dict)}
+    for key, item in plain.items():
+        text.append(f"{toml_key(key)} = {toml_value(item)}")
+        expected[(key,)] = len(text)
+    for key, table in value.items():
+        if isinstance(table, dict):
+            text.append(f"[{toml_key(key)}]  # ]")
+            expected[(key,)] = len(text)
+            for name, item in table.items():
+                text.append(f"{toml_key(name)} = {toml_value(item)}")
+                expected[(key, name)] = len(text)
+    report = Report("x")
+    assert read_toml("\n".join(text), report) == value
+    assert {path: line for path, line in report.lines.items() if path in expected} == expected
+
+
+def test_lines_of_rows_and_of_values_over_several_lines() -> None:
+    text = 'a = [\n  1, # [\n  2,\n]\nb = """\n[x]\ny = 1\n"""\n[[r]]\nc = 1\n[r.s]\nd = 1\n[[r]]\nc.e = 2\n'
+    report = Report("x")
+    assert read_toml(text, report) is not None
+    expected: dict[KeyPath, int] = {
+        ("a",): 1, ("b",): 5, ("r", 0): 9, ("r", 0, "c"): 10, ("r", 0, "s"): 11, ("r", 0, "s", "d"): 12,
+        ("r", 1): 13, ("r", 1, "c"): 14, ("r", 1, "c", "e"): 14,
+    }  # fmt: skip
+    assert {path: report.line(path) for path in expected} == expected
+    assert report.line(("a", 1)) == 1
+    assert ("x",) not in report.lines
+
+
+def test_a_key_given_twice_is_found_at_its_second_line() -> None:
+    report = Report("x")
+    assert read_json('{"a": {"b": 1,\n"b": 2}}', report) == {"a": {"b": 2}}
+    assert [(f.code, f.line, f.key) for f in report.findings] == [("twice", 2, "a.b")]
+
+
+def test_reading_goes_on_beside_a_writer_that_renames(tmp_path: Path) -> None:
+    """The content is always that of one version, whatever moment is met."""
+    path = tmp_path / "x.json"
+    path.write_bytes(b"0" * 50_000)
+    stop = threading.Event()
+
+    def write() -> None:
+        version = 0
+        while not stop.is_set():
+            version = (version + 1) % 10
+            (tmp_path / "new").write_bytes(b"%d" % version * 50_000)
+            (tmp_path / "new").rename(path)
+
+    writer = threading.Thread(target=write)
+    writer.start()
+    try:
+        for _ in range(200):
+            try:
+                assert len(set(read_bytes(str(path)))) == 1
+            except Unreadable as error:
+                assert "changes while it is read" in str(error)
+    finally:
+        stop.set()
+        writer.join()
--- /dev/null
+++ b/tests/config/test_tool.py
@@ -0,0 +1,217 @@
+"""explain, diff, keys, and what shows only across files."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from eiderhub.config.check import Unit, check, units
+from eiderhub.config.command import main
+from eiderhub.config.operator import OWNERS, owner
+
+BASE = Path(__file__).parent.parent / "corpus" / "base.json"
+ROUTES = """
+[pools.near]
+zones = ["a"]
+
+[[routes]]
+name = "stock"
+class = "look"
+path = "/stock/{id}"
+pool = "near"
+deadline = "1500ms"
+attempts = 2
+"""
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    shutil.copy(BASE, tmp_path / "sidecar.json")
+    (tmp_path / "operator.toml").write_text(ROUTES)
+    return tmp_path
+
+
+def change(path: Path, *changes: tuple[tuple[str | int, ...], Any]) -> None:
+    document = json.loads(path.read_text())
+    for steps, value in changes:
+        inner = document
+        for step in steps[:-1]:
+            inner = inner[step]
+        inner[steps[-1]] = value
+    path.write_text(json.dumps(document, indent=1))
+
+
+def explained(folder: Path, request: str, capsys: pytest.CaptureFixture[str], *words: str) -> dict[str, str]:
+    assert main(["explain", str(folder), "--request", request, "--json", *words]) == 0
+    found: dict[str, str] = json.loads(capsys.readouterr().out)
+    return found
+
+
+@pytest.mark.parametrize("path", ["/stock/7", "/Stock/7/", "/st%6fck/7?x=1"])
+def test_explain_names_route_class_and_pool(path: str, folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    told = explained(folder, f"GET {path}", capsys)
+    assert (told["route"], told["class"], told["pool"], told["given up after"]) == ("stock", "look", "zones a", "1.5s")
+    assert told["after a reset or a time-out (it may have run)"].startswith("send it again to any endpoint, 2 attempts")
+
+
+def test_explain_tells_what_may_be_done_by_effect(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    reset, turned = (
+        "after a reset or a time-out (it may have run)",
+        "after being turned away or not connecting (it never ran)",
+    )
+    despacho = explained(folder, "POST /despacho/a", capsys)
+    assert despacho[reset] == "never send it again; fail (502 or 504), promising nothing"
+    assert despacho[turned] == "send it again to any endpoint, 3 attempts in all; then refuse (503)"
+    reserva = explained(folder, "POST /reserva/a", capsys)
+    assert "within its cell alone for 3750ms" in reserva[reset]
+    assert reserva[reset].endswith("then fail (502 or 504), promising nothing")
+
+
+@pytest.mark.parametrize(
+    ("request_line", "answer"),
+    [
+        ("GET /look/../despacho/a", "400: the target has a dot segment, or parameters without a name"),
+        ("GET /nothing/a", "404: no route takes it, and its first part names no class"),
+        ("POST /look/a", "405: its class takes GET alone"),
+    ],
+)
+def test_explain_tells_what_is_refused(
+    request_line: str, answer: str, folder: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert explained(folder, request_line, capsys)["answer"] == answer
+
+
+def test_explain_takes_tenant_headers_and_services(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    more = """
+[[routes]]
+name = "deep"
+class = "look"
+path = "/stock/{id}"
+tenant = "acme"
+headers = { X-Kind = "Deep" }
+
+[[routes]]
+name = "thrift"
+class = "despacho"
+protocol = "thrift"
+service = "Orders"
+call = "commit"
+"""
+    (folder / "operator.toml").write_text(ROUTES + more)
+    words = ["--tenant", "acme", "--header", "X-Kind=Deep"]
+    assert explained(folder, "GET /stock/7", capsys, *words)["route"] == "deep"
+    assert explained(folder, "GET /stock/7", capsys, *words[:2])["route"] == "stock"
+    words = ["--protocol", "thrift", "--service", "Orders", "--call", "commit"]
+    assert explained(folder, "CALL /", capsys, *words)["route"] == "thrift"
+
+
+def test_explain_refuses_what_it_can_not_read(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["explain", str(folder), "--request", "POST"]) == 2
+    (folder / "operator.toml").write_text("[routing]\ndefault = 1\n")
+    assert main(["explain", str(folder), "--request", "GET /look/a"]) == 1
+    assert "[value]" in capsys.readouterr().out
+
+
+def diffed(old: Path, new: Path, capsys: pytest.CaptureFixture[str]) -> dict[tuple[str, str], tuple[str, str, bool]]:
+    assert main(["diff", str(old), str(new), "--json"]) == 0
+    rows = json.loads(capsys.readouterr().out)
+    return {(row["subject"], row["what"]): (row["old"], row["new"], row["restart"]) for row in rows}
+
+
+def test_diff_tells_what_changes_and_what_needs_a_restart(
+    folder: Path, tmp_path_factory: pytest.TempPathFactory, capsys: pytest.CaptureFixture[str]
+) -> None:
+    new = tmp_path_factory.mktemp("new")
+    shutil.copytree(folder, new, dirs_exist_ok=True)
+    assert diffed(folder, new, capsys) == {}
+    (new / "operator.toml").write_text(ROUTES.replace("attempts = 2", "attempts = 1"))
+    changes = (
+        (("discovery",), "127.0.0.1:8600"),
+        (("settings", "Categories", 0, "AimUs"), 900_000),
+        (("settings", "Categories", 1, "Effect"), "at_most_once"),
+    )
+    change(new / "sidecar.json", *changes)
+    found = diffed(folder, new, capsys)
+    assert found["the sidecar", "asks for endpoints at"] == ("127.0.0.1:8500", "127.0.0.1:8600", False)
+    assert found["class look", "is wanted within"] == ("1s", "900ms", True)
+    reset = "after a reset or a time-out (it may have run)"
+    assert found["class reserva", reset][1:] == ("never send it again; fail (502 or 504), promising nothing", True)
+    old, now, restart = found["route stock", reset]
+    assert (old.startswith("send it again"), now.startswith("never"), restart) == (True, True, False)
+    assert not any(subject == "class despacho" for subject, _ in found)
+
+
+def test_keys_lists_every_table_and_key(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["keys"]) == 0
+    told = capsys.readouterr().out
+    for name in OWNERS:
+        assert f"[{name}" in told
+        assert name in owner(name).TABLES
+    assert "deadline       its time, where that is shorter than the class's" in told
+
+
+def test_files_that_belong_together() -> None:
+    assert units(["f/a.json", "f/a.toml", "f/b.json"]) == [Unit("f/a.json", "f/a.toml"), Unit("f/b.json", None)]
+    assert units(["f/sidecar.json", "f/operator.toml", "f/c.toml"]) == [
+        Unit("f/sidecar.json", "f/operator.toml"),
+        Unit(None, "f/c.toml"),
+    ]
+    assert units(["f/x.json", "f/y.toml"]) == [Unit("f/x.json", "f/y.toml")]
+    assert units(["f/x.json", "g/y.toml"]) == [Unit("f/x.json", "g/y.toml")]
+    assert units(["f/x.json", "g/y.json"]) == [Unit("f/x.json", None), Unit("g/y.json", None)]
+
+
+def two(tmp_path: Path, *changes: tuple[tuple[str | int, ...], Any]) -> list[tuple[str, str]]:
+    """The findings of two applications, of which the second differs from the first in these things."""
+    for name in ("one", "two"):
+        (tmp_path / name).mkdir()
+        shutil.copy(BASE, tmp_path / name / "sidecar.json")
+    change(tmp_path / "two" / "sidecar.json", (("listen",), "127.0.0.1:7071"), *changes)
+    return [(Path(f.file).parent.name, f.code) for f in check([str(tmp_path)]).findings]
+
+
+GRADES = ("settings", "Categories")
+
+
+def test_two_applications_that_agree(tmp_path: Path) -> None:
+    assert two(tmp_path) == []
+
+
+def test_one_address_twice(tmp_path: Path) -> None:
+    assert two(tmp_path, (("listen",), "127.0.0.1:7070")) == [("two", "same-address")]
+
+
+@pytest.mark.parametrize("name", ["look", "Look", "l%6fok"])
+def test_effects_that_differ_between_applications_and_tiers(tmp_path: Path, name: str) -> None:
+    """The weaker one is the finding, whichever file is read first and however the name is spelt."""
+    changes = ((*GRADES, 0, "Name"), name), ((*GRADES, 0, "Effect"), "at_most_once")
+    assert ("one", "effects-differ") in two(tmp_path, *changes, (("settings", "Layer"), 1))
+
+
+def test_an_inner_tier_that_outlasts_the_one_above(tmp_path: Path) -> None:
+    inner = (("settings", "Layer"), 1), ((*GRADES, 0, "DeadlineUs"), 3_500_000)
+    assert two(tmp_path, *inner) == [("two", "outlasts-tier-above")]
+    (tmp_path / "again").mkdir()
+    assert two(tmp_path / "again", inner[0], ((*GRADES, 0, "DeadlineUs"), 3_000_000)) == []
+
+
+def test_all_findings_come_at_once_and_sorted(tmp_path: Path) -> None:
+    changes = (
+        ((*GRADES, 0, "AimUs"), 9_000_000),
+        (("limits", "memory_mb"), 8),
+        (("settings", "Parties", 0, "Share"), 0.9),
+    )
+    shutil.copy(BASE, tmp_path / "x.json")
+    change(tmp_path / "x.json", *changes)
+    (tmp_path / "x.toml").write_text("[routing]\ndefualt = 1\n\n[pool.x]\n\n[limits]\nrate = -1\n")
+    found = check([str(tmp_path)]).findings
+    assert [f.code for f in found] == [
+        "memory", "aim-after-deadline", "shares", "unknown-key", "unknown-key", "range",
+    ]  # fmt: skip
+    assert [f.line for f in found] == [*sorted(f.line for f in found[:3]), 2, 4, 7]
+    assert "Did you mean 'default'?" in str(found[3])
+    assert "Did you mean 'pools'?" in str(found[4])
--- /dev/null
+++ b/tests/config/test_write.py
@@ -0,0 +1,208 @@
+"""What the writer makes: sound, stable, and served by the real program, whatever sound description comes in."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from eiderhub.config.check import check
+from eiderhub.config.command import main
+from eiderhub.config.toml import toml_table, toml_value
+from eiderhub.config.write import attempts, outcome, window_us, write
+from tests.config.serving import serve_through
+
+REPOSITORY = Path(__file__).parents[2]
+RANDOM = 200
+AT_ONCE = 8  # programs that are started side by side
+
+names = st.text("abcdefghijklmnopqrstuvwxyz0123456789-_", min_size=1, max_size=8).map(lambda name: "n" + name)
+milliseconds = st.integers(200, 4000)
+
+
+def duration(ms: int) -> str:
+    return f"{ms}ms" if ms % 1000 else f"{ms // 1000}s"
+
+
+@st.composite
+def classes(draw: st.DrawFn) -> dict[str, Any]:
+    wanted = draw(milliseconds)
+    found: dict[str, Any] = {
+        "wanted": duration(wanted),
+        "give_up": duration(wanted + draw(st.integers(600, 3000))),
+        "repeat": draw(st.sampled_from(["harmless", "keyed", "never"])),
+    }
+    if found["repeat"] == "keyed":
+        found["remembered"] = duration(draw(st.integers(300, 9000)))
+        found["dropped_by"] = draw(st.sampled_from(["all", "zone", "cell"]))
+    if draw(st.booleans()):
+        found["worth"] = draw(st.floats(0.1, 10).map(lambda x: round(x, 2)))
+        found["late"] = draw(st.sampled_from([0.0, 0.25, 1.0]))
+    return found
+
+
+METHODS = {"harmless": "GET", "keyed": "POST", "never": "POST"}
+
+
+@st.composite
+def descriptions(draw: st.DrawFn) -> dict[str, Any]:
+    """Sound ones: times in order, shares up to 1, routes on paths of their own."""
+    grades = draw(st.dictionaries(names, classes(), min_size=1, max_size=4))
+    flag: st.SearchStrategy[bool] = st.booleans()
+    tiers = draw(st.lists(names, min_size=1, max_size=3, unique=True))
+    sidecars = draw(st.integers(1, 50))
+    tenants: list[str] = draw(st.lists(names, max_size=4, unique=True))
+    found: dict[str, Any] = {
+        "name": draw(names),
+        "tiers": tiers,
+        "tier": draw(st.sampled_from(tiers)),
+        "sidecars": sidecars,
+        "number": draw(st.integers(0, sidecars - 1)),
+        "listen": "127.0.0.1:7070",
+        "discovery": "127.0.0.1:8500",
+        "lists": draw(st.sampled_from(["ask", "push"])),
+        "zone": "here",
+        "rate": draw(st.integers(0, 10 * sidecars)),
+        "clients_wait": duration(draw(st.sampled_from([0, 500, 2000]))),
+        "default": draw(st.sampled_from(["first-part", "refuse"])),
+        "machine": {"memory": f"{draw(st.integers(32, 192))}MiB", "descriptors": draw(st.integers(256, 1024))},
+        "classes": grades,
+        "tenants": {name: round(1 / len(tenants) - 0.001, 3) for name in tenants},
+    }
+    pools = {"near": {"zones": ["here"]}, "rack": {"labels": {"rack": "r1"}}}
+    chosen: list[str] = sorted(draw(st.sets(st.sampled_from(sorted(pools)))))
+    found["pools"] = {name: pools[name] for name in chosen}
+    found["routes"] = []
+    for i in range(draw(st.integers(int(found["default"] == "refuse"), 3))):
+        grade = draw(st.sampled_from(sorted(grades)))
+        route: dict[str, Any] = {
+            "name": f"r{i}",
+            "class": grade,
+            "path": f"/route-{i}" + draw(st.sampled_from(["", "/{id}", "/{id}/rest", "/*"])),
+        }
+        if draw(flag):
+            route["method"] = METHODS[grades[grade]["repeat"]]
+        if bool(chosen) and draw(flag):
+            route["pool"] = draw(st.sampled_from(chosen))
+        if bool(tenants) and draw(flag):
+            route["tenant"] = draw(st.sampled_from(tenants))
+        if draw(flag):
+            route["attempts"] = 1
+        if draw(flag):
+            route["headers"] = {"X-Kind": draw(names)}
+        found["routes"].append(route)
+    return found
+
+
+def text_of(description: dict[str, Any]) -> str:
+    lines = [f"{key} = {toml_value(value)}" for key, value in description.items() if not isinstance(value, dict)]
+    lines = [line for line in lines if not line.startswith("routes")]
+    for key in ("machine", "tenants"):
+        lines += toml_table(f"[{key}]", description[key])
+    for key in ("classes", "pools"):
+        for name, table in description[key].items():
+            lines += toml_table(f"[{key}.{name}]", table)
+    for route in description["routes"]:
+        lines += toml_table("[[routes]]", route)
+    return "\n".join(lines) + "\n"
+
+
+def test_everything_written_from_200_random_descriptions_starts_and_serves() -> None:
+    drawn: list[dict[str, Any]] = []
+
+    @settings(max_examples=RANDOM, phases=[Phase.generate], suppress_health_check=list(HealthCheck))
+    @given(descriptions())
+    def draw(description: dict[str, Any]) -> None:
+        drawn.append(description)
+
+    draw()
+    assert len(drawn) >= RANDOM
+
+    async def serve(description: dict[str, Any], gate: asyncio.Semaphore, folder: Path) -> None:
+        path = folder / "d.toml"
+        path.write_text(text_of(description))
+        made = outcome(str(path))
+        assert made.sound, (made.findings, path.read_text())
+        own, theirs = made.files.values()
+        async with gate:
+            assert await serve_through(json.loads(own), theirs.decode()) > 0
+
+    async def all_of_them() -> None:
+        gate = asyncio.Semaphore(AT_ONCE)
+        with tempfile.TemporaryDirectory() as folder:
+            async with asyncio.TaskGroup() as group:
+                for i, description in enumerate(drawn):
+                    own = Path(folder) / str(i)
+                    own.mkdir()
+                    group.create_task(serve(description, gate, own))
+
+    asyncio.run(all_of_them())
+
+
+@given(descriptions())
+@settings(max_examples=30)
+def test_the_same_description_gives_the_same_bytes(description: dict[str, Any]) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "d.toml"
+        path.write_text(text_of(description))
+        assert outcome(str(path)).files == outcome(str(path)).files
+
+
+def test_the_platforms_two_tiers_are_written_and_pass(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    """The main job: some twenty lines an application, and files that a sidecar serves on."""
+    description = REPOSITORY / "deploy" / "descriptions" / "santiago-central.toml"
+    assert main(["write", "--fleet", str(description), "--out", str(tmp_path)]) == 0
+    assert main(["check", "--strict", str(tmp_path)]) == 0
+    assert capsys.readouterr().out.endswith("4 files: 0 errors, 0 warnings\n")
+    for name, rank, tries in (("pedidos", 0, 3), ("bodega", 1, 2)):
+        document = json.loads((tmp_path / name / "sidecar.json").read_text())
+        told = document["settings"]
+        assert (told["Layer"], told["Allowed"]["MaxAttempts"]) == (rank, tries)
+        effects = {row["Name"]: row["Effect"] for row in told["Categories"]}
+        assert effects == {"reserva": "deduplicated", "despacho": "at_most_once"}
+        operator = (tmp_path / name / "operator.toml").read_text()
+        assert asyncio.run(serve_through(document, operator)) == 2
+
+
+def test_values_are_derived_with_their_reasons(tmp_path: Path) -> None:
+    write(str(REPOSITORY / "deploy" / "descriptions" / "santiago-central.toml"), str(tmp_path))
+    document = json.loads((tmp_path / "pedidos" / "sidecar.json").read_text())
+    reserva = document["settings"]["Categories"][0]
+    assert reserva["DedupWindowUs"] == 3_750_000
+    assert "resend may have to connect first" in document["notes"]["settings.Categories reserva"]
+    assert document["settings"]["Parties"][0]["QuotaPerS"] == pytest.approx(420 * 0.43)
+
+
+def test_windows_and_attempts() -> None:
+    assert window_us(4_000_000, 250_000) == 3_750_000
+    assert attempts([6_000_000, 2_500_000], 250_000, 0) == 3
+    assert attempts([6_000_000, 2_500_000], 250_000, 1) == 2
+    assert attempts([600_000], 250_000, 0) == 2
+    assert attempts([100_000], 250_000, 0) == 1
+
+
+def test_a_writer_leaves_the_old_files_where_the_new_ones_are_not_sound(tmp_path: Path) -> None:
+    path = tmp_path / "d.toml"
+    text = (REPOSITORY / "standins" / "demo.toml").read_text()
+    path.write_text(text)
+    assert main(["write", str(path), "--out", str(tmp_path)]) == 0
+    before = (tmp_path / "demo" / "sidecar.json").read_bytes()
+    path.write_text(text.replace('repeat = "never"', 'repeat = "harmless"'))
+    assert main(["write", str(path), "--out", str(tmp_path)]) == 1
+    assert (tmp_path / "demo" / "sidecar.json").read_bytes() == before
+    assert sorted(p.name for p in (tmp_path / "demo").iterdir()) == ["operator.toml", "sidecar.json"]
+
+
+def test_a_description_is_checked_like_the_files_made_of_it(tmp_path: Path) -> None:
+    path = tmp_path / "d.toml"
+    text = (REPOSITORY / "standins" / "demo.toml").read_text()
+    path.write_text(text.replace('path = "/catalogo/partes"', 'path = "/despacho/*"'))
+    found = [(f.code, f.key, f.line) for f in check([str(path)]).findings]
+    line = path.read_text().split("\n").index('path = "/despacho/*"') + 1
+    assert found == [("disguise", "routes[0].path", line)]
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -222,14 +222,14 @@
         return await first_asked(self)
 
 
-def started(tmp_path: Path, changes: dict[str, Any], **variables: str) -> subprocess.Popen[str]:
+def started(tmp_path: Path, changes: dict[str, Any], *words: str, **variables: str) -> subprocess.Popen[str]:
     """The program as a process of its own, told by a file in `tmp_path` and by these variables."""
     document = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", **changes}
     path = tmp_path / "config.json"
     path.write_text(json.dumps(document), encoding="utf-8")
     environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
     return subprocess.Popen(
-        [sys.executable, "-m", "eiderhub.sidecar"],
+        [sys.executable, "-m", "eiderhub.sidecar", *words],
         env={**environ, "GW_CONFIG": str(path), **variables},
         stderr=subprocess.PIPE,
         text=True,
@@ -268,15 +268,18 @@
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(*self.address))
 
-    async def line_with(self, text: str) -> None:
-        """Read its log up to a line with this text."""
+    async def line_with(self, text: str) -> str:
+        """Read its log up to a line with this text, which is returned."""
         assert self.process.stderr is not None
         while text not in (line := await asyncio.to_thread(self.process.stderr.readline)):
             assert line, "the log has ended"
+        return line
 
 
 @contextlib.asynccontextmanager
-async def program(tmp_path: Path, changes: dict[str, Any], **variables: str) -> AsyncIterator[Program]:
+async def program(
+    tmp_path: Path, changes: dict[str, Any], *words: str, **variables: str
+) -> AsyncIterator[Program]:
     endpoint = await Fake().start()
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = free.getsockname()
@@ -286,7 +289,7 @@
         "known": json.loads(listing(1, True, row("s-0", endpoint.address))),
         **changes,
     }
-    process = started(tmp_path, document, **variables)
+    process = started(tmp_path, document, *words, **variables)
     try:
         running = Program(process, endpoint, address)
         await running.line_with("serves on")
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,170 @@
+"""The program with an operator's file: starts, refusals, and reloads that take effect whole or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from eiderhub.cli import main as cli
+from tests.sidecar_support import Program, program, run, started
+
+TABLES = """
+[[routes]]
+name = "stock"
+class = "look"
+path = "/stock/{id}"
+"""
+GET = "GET {} HTTP/1.1\r\nHost: a\r\nReq-Id: {}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 2000\r\n\r\n"
+
+
+class Told:
+    """An operator's file beside a running program."""
+
+    def __init__(self, tmp_path: Path, text: str = TABLES) -> None:
+        self.path = tmp_path / "operator.toml"
+        self.path.write_text(text)
+        self.words = ("--operator", str(self.path))
+
+    async def reload(self, running: Program, text: str, line: str) -> str:
+        self.path.write_text(text)
+        running.process.send_signal(signal.SIGHUP)
+        return await running.line_with(line)
+
+
+async def status(running: Program, target: str, number: int) -> int:
+    """Ask on a connection of its own; an endpoint that is reached answers 200."""
+    client = await running.client()
+    client.writer.write(GET.format(target, f"r{number}").encode())
+    answer = asyncio.create_task(client.answer())
+    asked = asyncio.create_task(running.endpoint.next())
+    await asyncio.wait((answer, asked), return_when=asyncio.FIRST_COMPLETED)
+    if asked.done():
+        asked.result().reply()
+    else:
+        asked.cancel()
+    return (await answer).status
+
+
+def test_routes_of_the_file_are_served_and_a_reload_changes_them(tmp_path: Path) -> None:
+    async def test() -> None:
+        told = Told(tmp_path)
+        async with program(tmp_path, {}, *told.words) as running:
+            assert await status(running, "/stock/7", 1) == 200
+            assert await status(running, "/look/7", 2) == 200
+            other = TABLES.replace("/stock", "/parts") + '\n[routing]\ndefault = "refuse"\n'
+            await told.reload(running, other, "the configuration is taken")
+            assert await status(running, "/stock/7", 3) == 404
+            assert await status(running, "/parts/7", 4) == 200
+            assert await status(running, "/look/7", 5) == 404
+
+    run(test())
+
+
+def test_a_reload_that_the_checker_refuses_changes_nothing(tmp_path: Path) -> None:
+    """Two faults, of which the first is logged as the checker words it; a good change beside them is not taken."""
+
+    async def test() -> None:
+        told = Told(tmp_path)
+        async with program(tmp_path, {}, *told.words) as running:
+            bad = TABLES.replace("/stock", "/parts") + '\n[routing]\ndefualt = "refuse"\n\n[nothing]\n'
+            line = await told.reload(running, bad, "is not taken")
+            assert f"{told.path}:8: routing.defualt: error [unknown-key]" in line
+            assert await status(running, "/stock/7", 1) == 200
+            assert await status(running, "/parts/7", 2) == 404
+
+    run(test())
+
+
+def test_a_reload_that_needs_a_restart_is_refused_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        told = Told(tmp_path)
+        async with program(tmp_path, {}, *told.words) as running:
+            path = tmp_path / "config.json"
+            document = json.loads(path.read_text())
+            document["settings"] = {**document["settings"], "OverShareWorth": 0.5}
+            path.write_text(json.dumps(document))
+            line = await told.reload(running, TABLES.replace("/stock", "/parts"), "is not taken")
+            assert "a restart is needed for settings.over_share_worth; nothing has changed" in line
+            assert await status(running, "/parts/7", 1) == 404
+
+    run(test())
+
+
+def test_what_is_in_flight_at_a_reload_ends_under_the_class_it_was_taken_with(tmp_path: Path) -> None:
+    """The route's class was safe to repeat; after the reload the same path is unsafe. Neither rule is mixed."""
+
+    async def test() -> None:
+        told = Told(tmp_path)
+        async with program(tmp_path, {}, *told.words) as running:
+            client = await running.client()
+            client.writer.write(GET.format("/stock/7", "r1").encode())
+            asked = await running.endpoint.next()
+            await told.reload(running, TABLES.replace('"look"', '"pay"'), "the configuration is taken")
+            assert await status(running, "/stock/8", 2) == 405
+            asked.reset()
+            # It was `look`, which may be refused after it may have run; `pay` may not, and would be a 502.
+            assert (await client.answer()).status == 503
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("[routing]\ndefualt = 1\n", "error [unknown-key]"),
+        ('[[routes]]\nname = "a"\nclass = "look"\npath = "/pay/*"\n', "error [disguise]"),
+        (None, "No such file"),
+    ],
+)
+def test_a_bad_operators_file_ends_the_start_with_one_line(tmp_path: Path, text: str | None, words: str) -> None:
+    path = tmp_path / "operator.toml"
+    if text is not None:
+        path.write_text(text)
+    document = {"settings": json.loads((Path(__file__).parent / "corpus" / "base.json").read_text())["settings"]}
+    document["settings"]["Categories"][2]["Name"] = "pay"
+    process = started(tmp_path, document, "--operator", str(path))
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 1
+    assert errors.startswith("eiderhub.sidecar: ")
+    assert errors.count("\n") == 1
+    assert words in errors
+
+
+def test_what_is_off_is_not_imported() -> None:
+    """A plain sidecar carries nothing of the tools; checked in a process of its own."""
+    code = (
+        "import sys, eiderhub.sidecar.__main__; "
+        "bad = [m for m in sys.modules if m.startswith(('eiderhub.config', 'eiderhub.routing.options', "
+        "'eiderhub.routing.conflicts', 'tomllib', 'argparse', 'difflib', 'standins'))]; "
+        "print(bad); sys.exit(bool(bad))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=False)
+    assert (done.returncode, done.stdout) == (0, "[]\n")
+
+
+def test_the_command_tells_its_use(capsys: pytest.CaptureFixture[str]) -> None:
+    assert cli(["--help"]) == 0
+    assert "eiderhub COMMAND" in capsys.readouterr().out
+    assert cli([]) == 2
+    assert cli(["nothing"]) == 2
+    assert cli(["sidecar", "--wrong"]) == 2
+    assert "usage: eiderhub sidecar" in capsys.readouterr().err
+
+
+def test_the_demonstration_serves_and_ends_well() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "eiderhub", "demo", "--seconds", "2"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "without an answer: 0; the sidecar ended with status 0" in done.stdout
+
