--- /dev/null
+++ b/tests/config/test_directions.py
@@ -0,0 +1,166 @@
+"""Both directions: what the checker accepts starts, and what starts and keeps the rules is not refused."""
+
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eiderhub.config.load import ANYWHERE, Source, examine
+from eiderhub.routing.plan import plain
+from eiderhub.sidecar.config import ConfigError, config_from
+from tests.support import Host
+
+BASE: dict[str, Any] = json.loads((Path(__file__).parent.parent / "corpus" / "base.json").read_text())
+
+
+def errors_of(document: Any) -> list[str]:
+    found = examine(Source("x.json", json.dumps(document).encode()), None)
+    assert (found.config is None) == bool(found.errors)
+    return [finding.code for finding in found.errors]
+
+
+def starts(document: Any) -> bool:
+    """Whether the program's own reading takes it, and the module can be made and started on it."""
+    environ = {key: value for key, value in ANYWHERE.items() if key[3:].lower() not in document}
+    try:
+        config = config_from(document, environ)
+    except ConfigError:
+        return False
+    Host(plain(config.settings).settings, [entry.endpoint for entry in config.known.entries])
+    return True
+
+
+def places(value: object, path: tuple[str | int, ...] = ()) -> list[tuple[str | int, ...]]:
+    found = [path] if path else []
+    steps = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for step, inner in steps:
+        found += places(inner, (*path, step))
+    return found
+
+
+PLACES = places(BASE)
+ODD = [None, True, False, 0, 1, -1, 0.5, 10**30, 2**53, "", "x", "127.0.0.1:1", [], ["a"], {}, {"a": 1}, "a\nb", "GET"]
+
+
+@st.composite
+def mutated(draw: st.DrawFn) -> Any:
+    """The base document with some values replaced or left out."""
+    document = copy.deepcopy(BASE)
+    for path in draw(st.lists(st.sampled_from(PLACES), min_size=1, max_size=3)):
+        inner: Any = document
+        try:
+            for step in path[:-1]:
+                inner = inner[step]
+            if draw(st.booleans()):
+                inner[path[-1]] = draw(st.sampled_from(ODD))
+            else:
+                del inner[path[-1]]
+        except (KeyError, IndexError, TypeError):
+            continue  # an earlier change took the place away
+    return document
+
+
+@given(mutated())
+@settings(max_examples=1500)
+def test_what_the_checker_accepts_starts(document: Any) -> None:
+    if not errors_of(document):
+        assert starts(document)
+
+
+@st.composite
+def from_the_platform(draw: st.DrawFn) -> dict[str, Any]:
+    """Documents as the platform hands them out: any sound figures, and keys that the sidecar has no use for."""
+    us = st.integers(50_000, 10_000_000)
+    grades = []
+    for i in range(draw(st.integers(1, 4))):
+        aim = draw(us)
+        effect = draw(st.sampled_from(["idempotent", "deduplicated", "at_most_once"]))
+        grades.append(
+            {
+                "Name": f"c{i}",
+                "AimUs": aim,
+                "DeadlineUs": aim + draw(st.integers(2_000_000, 9_000_000)),
+                "Effect": effect,
+                "Group": draw(st.sampled_from(["all", "zone", "cell"])),
+                "DedupWindowUs": draw(st.integers(1 if effect == "deduplicated" else 0, 9_000_000)),
+                "Credit": draw(st.floats(0.0, 10.0)),
+                "LateShare": draw(st.floats(0.0, 1.0)),
+                "Streaming": draw(st.booleans()),
+            }
+        )
+    parties = draw(st.integers(0, 6))
+    balancers = draw(st.integers(1, 140))
+    return {
+        "name": "n3",
+        "listen": "10.0.0.4:7070",
+        "discovery": "10.2.0.1:8500",
+        "seed": draw(st.text("0123456789abcdef", min_size=16, max_size=16)),
+        "limits": {"cores": 1.0, "memory_mb": draw(st.integers(32, 192)), "sockets": draw(st.integers(256, 1024))},
+        "peer_listen": "10.0.0.4:7946",
+        "peers": ["10.3.0.1:7946"],
+        "peers_all": "10.3.255.1:7946",
+        "known": {
+            "generation": draw(st.integers(0, 1000)),
+            "reset": True,
+            "instances": [
+                {
+                    "instanceId": f"s-{i}", "hostPort": f"10.1.0.{i}:7070", "zone": "z", "machineType": "m2", "cell": i,
+                    "lifecycle": draw(st.sampled_from(["ready", "draining"])), "weight": 1.0,
+                    "startedAtMs": draw(st.sampled_from([0, 1_790_000_000_000])),
+                }
+                for i in range(draw(st.integers(0, 9)))
+            ],
+        },
+        "settings": {
+            "Allowed": {
+                "ConnIdleUs": draw(us), "ConnectTimeoutUs": 250_000, "CpuUsPerRequest": 0.0, "CpuUsPerS": 7_088_004,
+                "MaxAttempts": draw(st.integers(1, 6)), "MaxOpen": 177_200, "MaxRetryAfterUs": draw(us),
+                "MayCancel": True, "Multiplex": 1, "Peers": False, "Probing": False, "RetryAfter": True,
+                "SecondCopies": draw(st.booleans()),
+            },
+            "Balancers": balancers,
+            "Rank": draw(st.integers(0, 200)),
+            "Categories": grades,
+            "Charges": {"Connection": 0.08, "CrossZone": 0.0, "Waste": 0.05},
+            "Clients": {"MarksRetry": False},
+            "Discovery": draw(st.sampled_from(["ask", "push"])),
+            "Family": "chain",
+            "FamilyInfo": {"PassesDeadline": True},
+            "Goal": {"Whole": 0.4, "WorstClass": 0.1, "WorstTenant": 0.4, "WorstWindow": 0.1},
+            "Kinds": ["ped-std", "ped-lento"],
+            "Layer": draw(st.integers(0, 1)),
+            "Localities": ["z"],
+            "MyZone": "z",
+            "OverShareWorth": 0.05,
+            "Parties": [{"Name": f"p{i}", "QuotaPerS": 12.0, "Share": 1 / parties} for i in range(parties)],
+            "Report": {"Fields": [], "How": "none"},
+            "Rules": {"AnswerSlackUs": 20_000, "AskEveryUs": 10_000_000, "ColdFrom": 0.32, "ColdUs": 9_000_000,
+                      "DrainGraceUs": 1_000_000, "FallUs": 1_000_000, "OverloadFactor": 4.0},
+            "StepUs": 5_000,
+            "Tiers": ["pedidos", "bodega"],
+            "Weights": "none",
+            "WorthBy": "request",
+        },
+    }  # fmt: skip
+
+
+@given(from_the_platform())
+@settings(max_examples=200)
+def test_what_starts_and_keeps_the_rules_is_not_refused(document: dict[str, Any]) -> None:
+    assert starts(document)
+    assert errors_of(document) == []
+
+
+@pytest.mark.parametrize("key", ["Peer5", "Zonal", "Zeitgeist"])
+def test_a_new_key_of_the_platform_is_a_warning_and_a_misspelt_one_an_error(key: str) -> None:
+    document = copy.deepcopy(BASE)
+    document["settings"][key] = 1
+    assert errors_of(document) == []
+    document["settings"]["Balancer"] = 1
+    assert errors_of(document) == ["unknown-key"]
