--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -11,9 +11,10 @@
 import tracemalloc
 
 from eiderhub.interface import Effect, RequestClass, Settings
-from eiderhub.routing.plan import plain, plan
-from eiderhub.routing.table import Asked, Route, read_pattern
-from eiderhub.routing.target import segments_of
+from eiderhub.routing.compile import plan
+from eiderhub.routing.plan import plain
+from eiderhub.routing.table import Route, read_pattern
+from eiderhub.routing.target import Asked, segments_of
 
 SIZES = (10, 100, 1000, 10_000)
 LOOKUPS = 20_000
--- a/eiderhub/config/command.py
+++ b/eiderhub/config/command.py
@@ -17,7 +17,7 @@
 from eiderhub.config.schema import REQUIRED, Key, Kind, Named, Placed, Rows, Table
 from eiderhub.config.units import show_duration
 from eiderhub.config.write import write
-from eiderhub.routing.table import Asked
+from eiderhub.routing.target import Asked
 from eiderhub.sidecar.config import Config
 
 
--- a/eiderhub/config/describe.py
+++ b/eiderhub/config/describe.py
@@ -68,7 +68,7 @@
         Key("sidecars", Int(1, 1_000_000), "sidecars that send into the tier", 1),
         Key("number", Int(0, 999_999), "which of them this one is, from 0", 0),
         Key("listen", Address(), "where callers connect"),
-        Key("discovery", Address(), "where endpoints are asked for"),
+        Key("discovery", Address(), "where endpoints are asked for; not needed where they are named", None),
         Key("lists", Choice(("ask", "push")), "whether discovery is asked, or pushes", "ask"),
         Key("endpoints", Several(Address(), 20_000), "endpoints known before discovery answers", ()),
         Key("zone", Text(r"[^\x00-\x1f]{1,128}", "a zone's name"), "the zone of the sidecar", ""),
@@ -176,6 +176,11 @@
             "rank", f"number {table['number']} of {table['sidecars']}, counted from 0", "Two sidecars would be one",
             f"Write 0 to {table['sidecars'] - 1}",
         )  # fmt: skip
+    if not table["discovery"] and not table["endpoints"]:
+        (spot / "discovery").error(
+            "missing", "neither discovery nor endpoints are named", "Nothing could be served",
+            "Give discovery, or endpoints",
+        )  # fmt: skip
     for name, row in table["classes"].items():
         place = spot / "classes" / name
         if row["repeat"] == "keyed" and not row["remembered"]:
--- a/eiderhub/config/explain.py
+++ b/eiderhub/config/explain.py
@@ -10,9 +10,8 @@
 from eiderhub.config.units import show_duration, show_size
 from eiderhub.interface import Effect, Group, RequestClass, Settings
 from eiderhub.routing.plan import METHOD, Plan
-from eiderhub.routing.table import Asked
-from eiderhub.routing.target import Refused, segments_of
-from eiderhub.sidecar.config import Config
+from eiderhub.routing.target import Asked, Refused, segments_of
+from eiderhub.sidecar.config import Address, Config
 
 HERE, OTHER_CELL = ("z", 0), ("y", 1)  # two places, for asking the rules what holds for each
 
@@ -81,6 +80,10 @@
     restart: bool  # whether a change of it needs one
 
 
+def _address(address: Address | None) -> str:
+    return f"{address.host}:{address.port}" if address else ""
+
+
 def facts(config: Config) -> list[Fact]:
     """All that a configuration does, in the terms of `explain`."""
     plan = config.plan
@@ -88,8 +91,8 @@
     settings = config.settings
     found = [
         Fact("the sidecar", "is named", config.name, True),
-        Fact("the sidecar", "listens on", f"{config.listen.host}:{config.listen.port}", True),
-        Fact("the sidecar", "asks for endpoints at", f"{config.discovery.host}:{config.discovery.port}", False),
+        Fact("the sidecar", "listens on", _address(config.listen), True),
+        Fact("the sidecar", "asks for endpoints at", _address(config.discovery) or "nobody", False),
         Fact("the sidecar", "holds for others at most", show_size(config.bounds.held), True),
         Fact("the sidecar", "has connections of callers", str(config.bounds.callers), True),
         Fact("the sidecar", "has connections to endpoints", str(config.bounds.endpoints), True),
--- a/eiderhub/config/schema.py
+++ b/eiderhub/config/schema.py
@@ -42,10 +42,13 @@
     return BAD
 
 
-def nearest(name: str, known: Iterable[str]) -> str | None:
+LIKELY, SURE = 0.6, 0.8  # how alike two names are that may, or must, be meant for one
+
+
+def nearest(name: str, known: Iterable[str], alike: float = LIKELY) -> str | None:
     """The known name that was probably meant."""
     folded = {k.casefold(): k for k in known}
-    found = difflib.get_close_matches(name.casefold(), folded, 1, 0.6)
+    found = difflib.get_close_matches(name.casefold(), folded, 1, alike)
     return folded[found[0]] if found else None
 
 
@@ -290,8 +293,7 @@
         return BAD if any(read is BAD for read in found.values()) else found
 
     def _unknown(self, name: str, spot: Spot) -> None:
-        near = nearest(name, self.by_name)
-        if self.foreign and near is None:
+        if self.foreign and nearest(name, self.by_name, SURE) is None:
             spot.warn("unknown-key", "the key is not known", "It is skipped", "Leave it out if it is yours")
         else:
             spot.error(
--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -428,6 +428,13 @@
 
 def _addresses(document: dict[str, Any], root: Spot) -> None:
     listen = document.get("listen")
+    if "discovery" in document and not document["discovery"] and not (document.get("known") or {}).get("instances"):
+        (root / "discovery").warn(
+            "no-endpoints",
+            "neither discovery nor an endpoint is named",
+            "No sidecar starts from it, unless GW_DISCOVERY names discovery",
+            "Name discovery, or endpoints under 'known'",
+        )
     if listen and listen == document.get("discovery"):
         (root / "discovery").error(
             "address", f"the sidecar's own address {listen}", "It would ask itself for endpoints", "Name discovery's"
--- a/eiderhub/config/write.py
+++ b/eiderhub/config/write.py
@@ -152,7 +152,7 @@
         "Tiers": tiers,
         "MyZone": table["zone"],
         "OverShareWorth": table["over_share"],
-        "Discovery": table["lists"],
+        "Discovery": table["lists"] if table["discovery"] else "push",
     }
     for key, names in (("Localities", table["zones"]), ("Kinds", table["kinds"])):
         if names:
@@ -160,7 +160,7 @@
     document = {
         "name": application.name,
         "listen": table["listen"],
-        "discovery": table["discovery"],
+        **({"discovery": table["discovery"]} if table["discovery"] else {}),
         "seed": hashlib.sha256(application.name.encode()).hexdigest()[:16],
         "limits": {
             "cores": machine["cores"],
@@ -217,7 +217,9 @@
             )
         elif row["repeat"] == "never":
             notes[f"settings.Categories {name}"] = "at_most_once: sent again only where it surely has not run"
-    if not table["endpoints"]:
+    if not table["discovery"]:
+        notes["known"] = "all there is: no discovery is described, so a change of it needs a restart"
+    elif not table["endpoints"]:
         notes["known"] = "empty: nothing is served until discovery has answered"
     return notes
 
--- a/eiderhub/routing/options.py
+++ b/eiderhub/routing/options.py
@@ -28,8 +28,9 @@
 from eiderhub.config.sidecar_file import HOUR_US, STRICTNESS
 from eiderhub.config.units import show_duration
 from eiderhub.interface import Effect, Settings
+from eiderhub.routing.compile import ClassRule, PoolRule, plan
 from eiderhub.routing.conflicts import find_conflicts, meet, unreachable
-from eiderhub.routing.plan import FIRST_PART, METHOD, REFUSE, ClassRule, Plan, PoolRule, plan
+from eiderhub.routing.plan import FIRST_PART, METHOD, REFUSE, Plan
 from eiderhub.routing.table import MAX_ROUTES, Pattern, Route, TableError, read_pattern
 from eiderhub.routing.table import Table as Compiled
 from eiderhub.sidecar.bounds import ANSWER_MARGIN_US
--- a/eiderhub/routing/table.py
+++ b/eiderhub/routing/table.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from eiderhub.routing.target import query_values, segments_of
+from eiderhub.routing.target import Asked, query_values, segments_of
 
 MAX_ROUTES = 10_000  # of one table: a few bytes each, but a file past this was made by mistake
 MAX_SHAPES = 16  # sets of conditions at one path: each costs a look in a dictionary for each request
@@ -84,35 +84,6 @@
             yield {**base, ("method",): method}
 
 
-NO_HEADERS: Mapping[bytes, bytes] = {}
-
-
-class Asked:
-    """A request as a route sees it. `headers` and `query` are read only where some route asks for them."""
-
-    __slots__ = ("call", "headers", "method", "protocol", "query", "segments", "service", "tenant")
-
-    def __init__(
-        self,
-        protocol: str,
-        method: str = "",
-        segments: tuple[bytes, ...] = (),
-        headers: Mapping[bytes, bytes] = NO_HEADERS,
-        query: bytes = b"",
-        tenant: str | None = None,
-        service: str | None = None,
-        call: str | None = None,
-    ) -> None:
-        self.protocol = protocol
-        self.method = method
-        self.segments = segments
-        self.headers = headers  # by name in lower case
-        self.query = query
-        self.tenant = tenant
-        self.service = service
-        self.call = call
-
-
 def condition_order(condition: Condition) -> tuple[int, Condition]:
     """Where a condition stands in the order: the plain ones first, then headers and query values by name."""
     return (PLAIN.index(condition[0]) if condition[0] in PLAIN else len(PLAIN), condition)
--- a/eiderhub/routing/target.py
+++ b/eiderhub/routing/target.py
@@ -1,4 +1,4 @@
-"""The one reading of a request's target that routes, checker and sidecar share.
+"""A request as routes see it, and the one reading of its target that routes, checker and sidecar share.
 
 A server behind the sidecar may resolve dot segments, decode twice, merge slashes or ignore case. A target that
 some server could read as another path than the table does would pass a route unseen, so it is refused here; all
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from urllib.parse import parse_qsl
+from collections.abc import Mapping
 
 MAX_SEGMENTS = 64  # of a path: more is no path that anybody routes on
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")  # RFC 3986, 2.3
@@ -84,6 +84,8 @@
 
 def query_values(query: bytes, names: frozenset[str]) -> dict[str, str]:
     """The values of those names. One that is given twice is `Refused`: servers differ on which of them counts."""
+    from urllib.parse import parse_qsl  # most sidecars have no route that looks at a query
+
     found: dict[str, str] = {}
     try:
         pairs = parse_qsl(query.decode("ascii"), keep_blank_values=True, max_num_fields=256)
@@ -95,3 +97,32 @@
                 raise Refused(f"{name!r} given twice in the query")
             found[name] = value
     return found
+
+
+NO_HEADERS: Mapping[bytes, bytes] = {}
+
+
+class Asked:
+    """A request as a route sees it. `headers` and `query` are read only where some route asks for them."""
+
+    __slots__ = ("call", "headers", "method", "protocol", "query", "segments", "service", "tenant")
+
+    def __init__(
+        self,
+        protocol: str,
+        method: str = "",
+        segments: tuple[bytes, ...] = (),
+        headers: Mapping[bytes, bytes] = NO_HEADERS,
+        query: bytes = b"",
+        tenant: str | None = None,
+        service: str | None = None,
+        call: str | None = None,
+    ) -> None:
+        self.protocol = protocol
+        self.method = method
+        self.segments = segments
+        self.headers = headers  # by name in lower case
+        self.query = query
+        self.tenant = tenant
+        self.service = service
+        self.call = call
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -31,7 +31,7 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None  # None: the known list is all there is
     seed: int
     bounds: Bounds
     known: Listing
@@ -70,6 +70,12 @@
     return float(value)
 
 
+def _discovery(text: object, known: Listing) -> Address | None:
+    if not text and known.entries:
+        return None  # a fixed list of endpoints
+    return parse_address(text, "discovery")
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration that the environment names, as the platform gives it. Raises `ConfigError`."""
     path = environ.get("GW_CONFIG")
@@ -97,7 +103,7 @@
     return Config(
         name=environ.get("GW_NAME") or str(document.get("name", "")),
         listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
-        discovery=parse_address(document.get("discovery") or environ.get("GW_DISCOVERY"), "discovery"),
+        discovery=_discovery(document.get("discovery") or environ.get("GW_DISCOVERY"), known),
         seed=_seed(document.get("seed")),
         bounds=Bounds.within(
             int(_limit(document, "sockets", SOCKETS)), _limit(document, "memory_mb", MEMORY_MB)
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -80,22 +80,26 @@
             config.bounds.endpoints,
             self.budget,
         )
-        self.watcher = Watcher(
+        self.watcher = self._watcher(config) if config.discovery else None
+        self.balancer = Balancer(settings, config.seed, self)
+        self.known = config.known
+
+    def _watcher(self, config: Config) -> Watcher:
+        assert config.discovery is not None
+        return Watcher(
             config.discovery.host,
             config.discovery.port,
             config.known.generation,
-            settings.discovery is Discovery.PUSH,
+            self.settings.discovery is Discovery.PUSH,
             self.on_list,
         )
-        self.balancer = Balancer(settings, config.seed, self)
-        self.known = config.known
 
     def start(self) -> None:
         """Start the module on the list that was known last, which is in use until discovery answers."""
         self.balancer.start(now_us())
         self.on_list(ListForm.CACHED, self.known.entries)
         if self.settings.discovery is Discovery.PUSH:
-            self.watcher.turn(True)
+            self.tail(True)
 
     def reload(self, config: Config) -> None:
         """Take from a new configuration what may change while the process runs: routes, and where discovery is.
@@ -107,6 +111,12 @@
         if plan.variants or self.plan.variants:
             self.balancer.adopt(now_us(), plan.variants)
         self.plan = plan
+        if config.discovery is None:
+            self.tail(False)  # the last list stays in use
+            self.watcher = None
+            return
+        if self.watcher is None:
+            self.watcher = self._watcher(config)
         self.watcher.move(config.discovery.host, config.discovery.port)
 
     @property
@@ -253,7 +263,8 @@
         Alarm(now_us() + delay_us, partial(self._tell, self.balancer.wake, mark))
 
     def tail(self, on: bool) -> None:
-        self.watcher.turn(on)
+        if self.watcher is not None:
+            self.watcher.turn(on)
 
     def disconnect(self, endpoint: str) -> None:
         self.upstream.close_idle(endpoint)
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -5,15 +5,13 @@
 import asyncio
 import logging
 import select
-from http import HTTPStatus
 from typing import NamedTuple, cast
 
 import httptools
 
 from eiderhub.interface import Effect, RequestClass
 from eiderhub.routing.plan import METHOD
-from eiderhub.routing.table import Asked
-from eiderhub.routing.target import Refused, segments_of
+from eiderhub.routing.target import Asked, Refused, segments_of
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Host, Request
 from eiderhub.sidecar.upstream import HOP_BY_HOP
@@ -30,7 +28,20 @@
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
 BUSY_WAIT = b"1"  # Retry-After where no memory is left
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+REASONS = {  # of every status that is answered; `http` would bring sixty more, and their memory
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
 # Headers on which endpoints and the sidecar must agree: two of one are two readings of one request.
 GIVEN_ONCE = frozenset((b"host", b"idempotency-key", b"cookie", b"content-length", b"transfer-encoding"))
@@ -254,7 +265,7 @@
             self._let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
         keep = self.keep and (bool(self.waiting) or not self.server.leaving)
-        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Other")), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
             lines.append(b"Connection: close")
--- a/tests/config/serving.py
+++ b/tests/config/serving.py
@@ -15,8 +15,8 @@
 from eiderhub.interface import Effect, RequestClass
 from eiderhub.routing.conflicts import example_of
 from eiderhub.routing.plan import METHOD, Plan
-from eiderhub.routing.table import Asked, Route
-from eiderhub.routing.target import segments_of
+from eiderhub.routing.table import Route
+from eiderhub.routing.target import Asked, segments_of
 from eiderhub.sidecar.config import Config
 from standins.discovery import Discovery, row
 from standins.endpoint import Behaviour, Endpoint, Ledger
--- a/tests/config/test_write.py
+++ b/tests/config/test_write.py
@@ -206,3 +206,16 @@
     found = [(f.code, f.key, f.line) for f in check([str(path)]).findings]
     line = path.read_text().split("\n").index('path = "/despacho/*"') + 1
     assert found == [("disguise", "routes[0].path", line)]
+
+
+def test_an_application_with_fixed_endpoints_and_no_discovery(tmp_path: Path) -> None:
+    text = (REPOSITORY / "standins" / "demo.toml").read_text()
+    path = tmp_path / "d.toml"
+    path.write_text(text.replace('discovery = "127.0.0.1:8500"', 'endpoints = ["127.0.0.1:9001", "127.0.0.1:9002"]'))
+    found = outcome(str(path))
+    assert found.findings == []
+    document = json.loads(found.files["demo/sidecar.json"])
+    assert "discovery" not in document
+    assert [row["hostPort"] for row in document["known"]["instances"]] == ["127.0.0.1:9001", "127.0.0.1:9002"]
+    path.write_text(text.replace('discovery = "127.0.0.1:8500"', ""))
+    assert [(f.code, f.key) for f in outcome(str(path)).findings] == [("missing", "discovery")]
--- a/tests/routing/reference.py
+++ b/tests/routing/reference.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from eiderhub.routing.table import PARAM, Asked, Route, condition_order
-from eiderhub.routing.target import query_values
+from eiderhub.routing.table import PARAM, Route, condition_order
+from eiderhub.routing.target import Asked, query_values
 
 
 def matches(route: Route, asked: Asked) -> bool:
--- a/tests/routing/test_plan.py
+++ b/tests/routing/test_plan.py
@@ -5,8 +5,10 @@
 import pytest
 
 from eiderhub.interface import Effect, Endpoint, Limits, Outcome, Readiness, RequestClass, Settings
-from eiderhub.routing.plan import PoolRule, plain, plan
-from eiderhub.routing.table import Asked, Route, read_pattern
+from eiderhub.routing.compile import PoolRule, plan
+from eiderhub.routing.plan import plain
+from eiderhub.routing.table import Route, read_pattern
+from eiderhub.routing.target import Asked
 from tests.support import MS, Host
 
 LOOK = RequestClass("look", 1_000_000, 3_000_000, Effect.IDEMPOTENT)
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 
 from eiderhub.routing.conflicts import claims, find_conflicts, unreachable
-from eiderhub.routing.table import Asked, Pattern, Route, Table, TableError, read_pattern
-from eiderhub.routing.target import Refused
+from eiderhub.routing.table import Pattern, Route, Table, TableError, read_pattern
+from eiderhub.routing.target import Asked, Refused
 from tests.routing import reference
 
 PARTS = (b"a", b"b", b"{}")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import signal
 from pathlib import Path
 
 import pytest
 
+from eiderhub.sidecar.discovery import Watcher
 from tests.sidecar_support import Fake, Sidecar, listing, program, row, run
 
 
+def watcher_of(sidecar: Sidecar) -> Watcher:
+    assert sidecar.host.watcher is not None
+    return sidecar.host.watcher
+
+
 def test_watch_moves_and_takes_the_whole_list_of_the_new_address() -> None:
     """The versions of the new address are its own: a change after ours would never come."""
 
@@ -20,7 +27,7 @@
             await sidecar.discovery.next()
             other = await Fake().start()
             host, _, port = other.address.rpartition(":")
-            sidecar.host.watcher.move(host, int(port))
+            watcher_of(sidecar).move(host, int(port))
             await sidecar.discovery.ends.get()  # the old watch is closed
             asked = await other.next()
             assert asked.message.first == "GET /discovery/hosts HTTP/1.1"
@@ -45,7 +52,7 @@
             other = await Fake().start()
             host, _, port = other.address.rpartition(":")
             sidecar.host.balancer.ask_wait = 60_000_000  # as after a long outage of the old address
-            sidecar.host.watcher.move(host, int(port))
+            watcher_of(sidecar).move(host, int(port))
             (await other.next()).reply(503, b"")
             (await other.next()).reply(200, listing(4, True))
             await other.next()
@@ -57,7 +64,7 @@
     async def test() -> None:
         async with Sidecar() as sidecar:
             await sidecar.discovery.next()
-            watcher = sidecar.host.watcher
+            watcher = watcher_of(sidecar)
             for _ in range(3):  # in a row, before any has been answered
                 watcher.move(watcher.host, watcher.port)
             asked = await sidecar.discovery.next()
@@ -94,3 +101,34 @@
             assert (await client.answer()).status == 200
 
     run(test())
+
+
+def test_a_fixed_list_serves_without_discovery_and_a_reload_may_bring_one(tmp_path: Path) -> None:
+    """No discovery is asked for; the first list of one that is named later counts as whole."""
+
+    async def test() -> None:
+        discovery, other = [await Fake().start() for _ in range(2)]
+        async with program(tmp_path, {"discovery": None}) as running:
+            client = await running.client()
+            client.send()
+            (await running.endpoint.next()).reply()
+            assert (await client.answer()).status == 200
+            file = tmp_path / "config.json"
+            file.write_text(json.dumps({**json.loads(file.read_text()), "discovery": discovery.address}))
+            running.process.send_signal(signal.SIGHUP)
+            asked = await discovery.next()
+            assert asked.message.first == "GET /discovery/hosts HTTP/1.1"
+            asked.reply(200, listing(1, False, row("s-9", other.address)))
+            await discovery.next()
+            client.send()
+            (await other.next()).reply()
+            assert (await client.answer()).status == 200
+            file.write_text(json.dumps({**json.loads(file.read_text()), "discovery": None}))
+            running.process.send_signal(signal.SIGHUP)
+            await running.line_with("the configuration is taken")
+            await discovery.ends.get()
+            client.send()
+            (await other.next()).reply()
+            assert (await client.answer()).status == 200
+
+    run(test())
--- a/tests/test_smuggling.py
+++ b/tests/test_smuggling.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from eiderhub.routing.plan import PoolRule, plan
+from eiderhub.routing.compile import PoolRule, plan
 from eiderhub.routing.table import Route, read_pattern
 from eiderhub.settings import settings_from
 from tests.sidecar_support import SETUP, Sidecar, run
