schema/ stands below the owners of tables, config/ above them; one server loop for stand-ins

Need: routing declared its tables with config, which imported routing in turn. Now schema knows no owner, and config holds the tool alone. The stand-ins' servers share one loop.

--- a/eiderhub/config/across.py
+++ b/eiderhub/config/across.py
@@ -5,11 +5,10 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from eiderhub.config.declared import fold
-from eiderhub.config.findings import Spot
 from eiderhub.config.load import Examined
-from eiderhub.config.sidecar_file import STRICTNESS
-from eiderhub.config.units import show_duration
+from eiderhub.schema.declared import STRICTNESS, fold
+from eiderhub.schema.findings import Spot
+from eiderhub.schema.units import show_duration
 
 
 class _Class(NamedTuple):
--- a/eiderhub/config/check.py
+++ b/eiderhub/config/check.py
@@ -9,10 +9,10 @@
 
 from eiderhub.config import describe
 from eiderhub.config.across import across
-from eiderhub.config.files import Unreadable, read_bytes, read_text, read_toml
-from eiderhub.config.findings import Finding, Report, Severity, Spot, sort
 from eiderhub.config.load import Examined, Source, examine
 from eiderhub.config.write import outcome
+from eiderhub.schema.files import Unreadable, read_bytes, read_text, read_toml
+from eiderhub.schema.findings import Finding, Report, Severity, Spot, sort
 
 MOST_FILES = 10_000  # of one call: a fleet of a thousand applications has two each
 SUFFIXES = (".json", ".toml")
--- a/eiderhub/config/command.py
+++ b/eiderhub/config/command.py
@@ -10,14 +10,14 @@
 
 from eiderhub.config import explain as explaining
 from eiderhub.config.check import Result, check, units
-from eiderhub.config.files import Unreadable
-from eiderhub.config.findings import Finding, Severity
 from eiderhub.config.load import Source, examine
 from eiderhub.config.operator import OWNERS, owner
-from eiderhub.config.schema import REQUIRED, Key, Kind, Named, Placed, Rows, Table
-from eiderhub.config.units import show_duration
 from eiderhub.config.write import write
 from eiderhub.routing.target import Asked
+from eiderhub.schema.files import Unreadable
+from eiderhub.schema.findings import Finding, Severity
+from eiderhub.schema.kinds import REQUIRED, Key, Kind, Named, Placed, Rows, Table
+from eiderhub.schema.units import show_duration
 from eiderhub.sidecar.config import Config
 
 
--- a/eiderhub/config/describe.py
+++ b/eiderhub/config/describe.py
@@ -5,10 +5,14 @@
 import copy
 from typing import Any
 
-from eiderhub.config.files import read_bytes, read_text, read_toml
-from eiderhub.config.findings import Report, Spot
-from eiderhub.config.schema import (
+from eiderhub.config.sidecar_file import PART, Address
+from eiderhub.routing.options import EFFECTS
+from eiderhub.routing.options import TABLES as ROUTING_TABLES
+from eiderhub.schema.files import read_bytes, read_text, read_toml
+from eiderhub.schema.findings import Report, Spot
+from eiderhub.schema.kinds import (
     BAD,
+    HOUR_US,
     NAME_TEXT,
     Choice,
     Duration,
@@ -23,10 +27,7 @@
     Table,
     Text,
 )
-from eiderhub.config.sidecar_file import HOUR_US, PART, Address
-from eiderhub.config.units import show_duration
-from eiderhub.routing.options import EFFECTS
-from eiderhub.routing.options import TABLES as ROUTING_TABLES
+from eiderhub.schema.units import show_duration
 
 TIME = Duration(1, HOUR_US)
 NAMES = Several(Text(r"[^\x00-\x1f]{1,128}", "a name"), 1000)
--- a/eiderhub/config/load.py
+++ b/eiderhub/config/load.py
@@ -11,11 +11,11 @@
 from typing import Any, NamedTuple
 
 from eiderhub.config import sidecar_file
-from eiderhub.config.files import Unreadable, read_bytes, read_json, read_text, read_toml
-from eiderhub.config.findings import Finding, Report, Spot, sort
 from eiderhub.config.operator import owners_of, read_tables
-from eiderhub.config.pair import Pair
 from eiderhub.routing.plan import Plan, plain
+from eiderhub.schema.files import Unreadable, read_bytes, read_json, read_text, read_toml
+from eiderhub.schema.findings import Finding, Report, Spot, sort
+from eiderhub.schema.pair import Pair
 from eiderhub.sidecar.config import Config, ConfigError, config_from
 
 OPERATOR_TABLES = ("routing", "classes", "pools", "routes")  # those that make a plan
--- a/eiderhub/config/operator.py
+++ b/eiderhub/config/operator.py
@@ -6,9 +6,9 @@
 from importlib import import_module
 from typing import Any, Protocol
 
-from eiderhub.config.findings import Spot
-from eiderhub.config.pair import Pair
-from eiderhub.config.schema import BAD, Kind, did_you_mean
+from eiderhub.schema.findings import Spot
+from eiderhub.schema.kinds import BAD, Kind, did_you_mean
+from eiderhub.schema.pair import Pair
 
 # Which module owns a table. It is imported only where the file names one of its tables, so that what is off costs
 # nothing; it brings `TABLES` (what may stand there) and `check(pair)` (what is well-formed and wrong).
--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -9,9 +9,12 @@
 import re
 from typing import Any
 
-from eiderhub.config.declared import DECLARED, fold
-from eiderhub.config.findings import Spot
-from eiderhub.config.schema import (
+from eiderhub.interface import Discovery, Effect, Group
+from eiderhub.routing.target import Refused, segments_of
+from eiderhub.schema.declared import DECLARED, STRICTNESS, fold
+from eiderhub.schema.findings import Spot
+from eiderhub.schema.kinds import (
+    HOUR_US,
     Choice,
     Flag,
     Int,
@@ -24,13 +27,9 @@
     Text,
     wrong,
 )
-from eiderhub.config.units import show_duration
-from eiderhub.interface import Discovery, Effect, Group
-from eiderhub.routing.target import Refused, segments_of
-from eiderhub.sidecar.bounds import ANSWER_MARGIN_US, BASE_MB, OWN_SOCKETS, Bounds
+from eiderhub.schema.units import show_duration
+from eiderhub.sidecar.bounds import ANSWER_MARGIN_US, BASE_MB, LEAST_SOCKETS, OWN_SOCKETS
 
-HOUR_US = 3_600_000_000  # no caller waits longer
-LEAST_SOCKETS = 64  # below it a burst of a few dozen callers is turned away
 LITTLE_MB = 32  # from here on bodies of 64 KiB have room beside the process itself
 SHARES_MOST = 1.01  # shares are rounded when they are written down
 US = Int(1, HOUR_US, "microseconds")
@@ -211,9 +210,6 @@
     foreign=True,
 )
 
-STRICTNESS = {"idempotent": 0, "deduplicated": 1, "at_most_once": 2}
-
-
 def check(document: dict[str, Any], root: Spot) -> None:
     """What is well-formed and wrong in one sidecar's file. `document` is what `DOCUMENT` read."""
     settings = document.get("settings", {})
@@ -408,24 +404,6 @@
         )
 
 
-def check_rate(limits: dict[str, Any], aims_us: list[int], rate: float, spot: Spot) -> None:
-    """Whether the descriptors carry the expected rate, each request open for its wanted time at the worst."""
-    sockets = limits.get("sockets", 1024)
-    if not aims_us or sockets < LEAST_SOCKETS:
-        return
-    bounds = Bounds.within(sockets, limits.get("memory_mb", 192.0))
-    most = min(bounds.callers, bounds.endpoints)
-    needed = math.ceil(rate * max(aims_us) / 1e6)
-    if needed > most:
-        spot.error(
-            "descriptors",
-            f"{rate:g} requests a second, open for up to {show_duration(max(aims_us))}, need {needed} connections on "
-            f"each side; {sockets} descriptors leave {most}",
-            "Callers would be cut off at the expected rate",
-            "Allow more descriptors, or run more sidecars",
-        )
-
-
 def _addresses(document: dict[str, Any], root: Spot) -> None:
     listen = document.get("listen")
     if "discovery" in document and not document["discovery"] and not (document.get("known") or {}).get("instances"):
--- a/eiderhub/config/write.py
+++ b/eiderhub/config/write.py
@@ -18,11 +18,11 @@
 from eiderhub.config import describe
 from eiderhub.config.across import across
 from eiderhub.config.describe import Application
-from eiderhub.config.findings import Finding, Path, Report, Severity, Spot, sort
 from eiderhub.config.load import Examined, Source, examine
-from eiderhub.config.toml import toml_key, toml_table, toml_value
-from eiderhub.config.units import show_duration
 from eiderhub.routing.options import EFFECTS
+from eiderhub.schema.findings import Finding, Path, Report, Severity, Spot, sort
+from eiderhub.schema.toml import toml_key, toml_table, toml_value
+from eiderhub.schema.units import show_duration
 
 SIDECAR, OPERATOR = "sidecar.json", "operator.toml"
 MAX_TRIES, MAX_TRIES_INSIDE = 3, 2  # what the decision module makes of any larger figure, by tier
--- a/eiderhub/routing/options.py
+++ b/eiderhub/routing/options.py
@@ -5,11 +5,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from eiderhub.config.declared import DECLARED, Declared, fold
-from eiderhub.config.findings import Spot
-from eiderhub.config.pair import Pair
-from eiderhub.config.schema import (
+from eiderhub.interface import Effect, Settings
+from eiderhub.routing.compile import ClassRule, PoolRule, plan
+from eiderhub.routing.conflicts import find_conflicts, meet, unreachable
+from eiderhub.routing.plan import FIRST_PART, METHOD, REFUSE, Plan
+from eiderhub.routing.table import MAX_ROUTES, Pattern, Route, TableError, read_pattern
+from eiderhub.routing.table import Table as Compiled
+from eiderhub.schema.declared import DECLARED, STRICTNESS, Declared, fold
+from eiderhub.schema.findings import Spot
+from eiderhub.schema.kinds import (
     BAD,
+    HOUR_US,
     NAME_TEXT,
     Choice,
     Duration,
@@ -25,14 +31,8 @@
     Text,
     did_you_mean,
 )
-from eiderhub.config.sidecar_file import HOUR_US, STRICTNESS
-from eiderhub.config.units import show_duration
-from eiderhub.interface import Effect, Settings
-from eiderhub.routing.compile import ClassRule, PoolRule, plan
-from eiderhub.routing.conflicts import find_conflicts, meet, unreachable
-from eiderhub.routing.plan import FIRST_PART, METHOD, REFUSE, Plan
-from eiderhub.routing.table import MAX_ROUTES, Pattern, Route, TableError, read_pattern
-from eiderhub.routing.table import Table as Compiled
+from eiderhub.schema.pair import Pair
+from eiderhub.schema.units import show_duration
 from eiderhub.sidecar.bounds import ANSWER_MARGIN_US
 
 HTTP = "http"
--- a/eiderhub/config/declared.py
+++ b/eiderhub/schema/declared.py
@@ -24,6 +24,9 @@
 }
 
 
+STRICTNESS = {Effect.IDEMPOTENT.value: 0, Effect.DEDUPLICATED.value: 1, Effect.AT_MOST_ONCE.value: 2}
+
+
 def fold(name: str) -> str:
     """A name as a hurried reader, or a lax server, would see it: for names that are another in disguise."""
     plain = unicodedata.normalize("NFKC", unquote(unquote(name))).casefold()
--- a/eiderhub/config/files.py
+++ b/eiderhub/schema/files.py
@@ -9,7 +9,7 @@
 import tomllib
 from typing import Any, NoReturn
 
-from eiderhub.config.findings import Path, Report, Spot
+from eiderhub.schema.findings import Path, Report, Spot
 
 MOST_BYTES = 8 << 20  # of one file: a list of a thousand endpoints takes 300 KB
 TRIES = 3  # at a file that changes while it is read
--- a/eiderhub/config/schema.py
+++ b/eiderhub/schema/kinds.py
@@ -14,11 +14,12 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, Protocol
 
-from eiderhub.config.findings import Spot
-from eiderhub.config.units import parse_duration, parse_size, show_duration, show_size
+from eiderhub.schema.findings import Spot
+from eiderhub.schema.units import parse_duration, parse_size, show_duration, show_size
 
 BAD: Final = object()  # in place of a value that could not be read: the finding stands already
 REQUIRED: Final = object()
+HOUR_US = 3_600_000_000  # no caller waits longer
 NAME = r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}"
 
 
--- a/eiderhub/config/pair.py
+++ b/eiderhub/schema/pair.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from eiderhub.config.findings import Report, Spot
+from eiderhub.schema.findings import Report, Spot
 
 
 @dataclass(frozen=True)
--- a/eiderhub/sidecar/bounds.py
+++ b/eiderhub/sidecar/bounds.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+LEAST_SOCKETS = 64  # below it a burst of a few dozen callers is turned away
 OWN_SOCKETS = 16  # the loop, the log, the listener, discovery and its successor: for neither side
 CALLERS_SHARE = 0.55  # of the other descriptors; twice what callers with requests open may hold
 BASE_MB = 24  # the process without what it holds for others, its connections included
--- a/eiderhub/sidecar/options.py
+++ b/eiderhub/sidecar/options.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from ipaddress import ip_address
 from typing import Any
 
-from eiderhub.config.findings import Spot
-from eiderhub.config.pair import Pair
-from eiderhub.config.schema import Choice, Key, Kind, Number, Table
-from eiderhub.config.sidecar_file import check_rate
+from eiderhub.schema.findings import Spot
+from eiderhub.schema.kinds import Choice, Key, Kind, Number, Table
+from eiderhub.schema.pair import Pair
+from eiderhub.schema.units import show_duration
+from eiderhub.sidecar.bounds import LEAST_SOCKETS, Bounds
 
 ANY, LOOPBACK = "any", "loopback"
 
@@ -34,7 +36,7 @@
         _check_listen(pair.document.get("listen"), pair.sidecar / "listen")
     if limits.get("rate"):
         aims = [row["AimUs"] for row in pair.categories if "AimUs" in row]
-        check_rate(pair.document.get("limits") or {}, aims, limits["rate"], spot / "rate")
+        _check_rate(pair.document.get("limits") or {}, aims, limits["rate"], spot / "rate")
 
 
 def _check_listen(listen: str | None, spot: Spot) -> None:
@@ -48,3 +50,21 @@
             "Other machines could reach the sidecar",
             "Listen on 127.0.0.1, or write limits.listen = \"any\"",
         )
+
+
+def _check_rate(limits: dict[str, Any], aims_us: list[int], rate: float, spot: Spot) -> None:
+    """Whether the descriptors carry the expected rate, each request open for its wanted time at the worst."""
+    sockets = limits.get("sockets", 1024)
+    if not aims_us or sockets < LEAST_SOCKETS:
+        return
+    bounds = Bounds.within(sockets, limits.get("memory_mb", 192.0))
+    most = min(bounds.callers, bounds.endpoints)
+    needed = math.ceil(rate * max(aims_us) / 1e6)
+    if needed > most:
+        spot.error(
+            "descriptors",
+            f"{rate:g} requests a second, open for up to {show_duration(max(aims_us))}, need {needed} connections on "
+            f"each side; {sockets} descriptors leave {most}",
+            "Callers would be cut off at the expected rate",
+            "Allow more descriptors, or run more sidecars",
+        )
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -7,7 +7,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from standins.http import answer, read_message
+from standins.http import Message, answer
+from standins.server import Answering
 
 
 def row(endpoint: str, address: str, lifecycle: str = "ready", started_ms: int = 0, **more: Any) -> dict[str, Any]:
@@ -29,26 +30,20 @@
     return json.dumps({"generation": generation, "reset": reset, "instances": rows}).encode()
 
 
-class Discovery:
+class Discovery(Answering):
     """Answers with the list as it stands; a change wakes the watches."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.generation = 1
         self.rows: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self._changed = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> Discovery:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        await self.listen()
         return self
 
-    def stop(self) -> None:
-        self.server.close()
-        for task in self._tasks:
-            task.cancel()
-
     def tell(self, entry: dict[str, Any]) -> None:
         """A change: an endpoint that is new, or that has another state."""
         self.generation += 1
@@ -60,19 +55,8 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            while True:
-                message = await read_message(reader)
-                writer.write(answer(200, await self._list(message.target)))
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            writer.close()
+    async def reply(self, message: Message) -> bytes:
+        return answer(200, await self._list(message.target))
 
     async def _list(self, target: str) -> bytes:
         query = parse_qs(urlsplit(target).query)
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from standins.http import Message, answer, read_message
+from standins.http import Message, answer
+from standins.server import Answering
 
 
 @dataclass
@@ -31,41 +32,21 @@
     draining: bool = False  # turns everything away
 
 
-class Endpoint:
+class Endpoint(Answering):
     """One server on a port of its own."""
 
     def __init__(self, ledger: Ledger, behaviour: Behaviour, chance: random.Random) -> None:
+        super().__init__()
         self.ledger = ledger
         self.behaviour = behaviour
         self.chance = chance
         self.served: Counter[str] = Counter()  # by class
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> Endpoint:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        await self.listen()
         return self
 
-    def stop(self) -> None:
-        self.server.close()
-        for task in self._tasks:
-            task.cancel()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            while True:
-                message = await read_message(reader)
-                writer.write(await self._answer(message))
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            writer.close()
-
-    async def _answer(self, message: Message) -> bytes:
+    async def reply(self, message: Message) -> bytes:
         if self.behaviour.draining:
             return answer(503, b"", "Srv-Declined: 1")
         if self.chance.random() < self.behaviour.error_rate:
--- a/tests/config/test_corpus.py
+++ b/tests/config/test_corpus.py
@@ -10,10 +10,10 @@
 
 from eiderhub.config.check import check
 from eiderhub.config.describe import is_description
-from eiderhub.config.files import read_toml
-from eiderhub.config.findings import Report, Severity
 from eiderhub.config.load import checked
 from eiderhub.config.write import write
+from eiderhub.schema.files import read_toml
+from eiderhub.schema.findings import Report, Severity
 from eiderhub.sidecar.config import ConfigError
 from tests.config.serving import serve_through
 
--- a/tests/config/test_files.py
+++ b/tests/config/test_files.py
@@ -13,10 +13,10 @@
 
 from eiderhub.config.check import check
 from eiderhub.config.command import main
-from eiderhub.config.files import MOST_BYTES, Unreadable, read_bytes, read_json, read_toml
-from eiderhub.config.findings import Path as KeyPath
-from eiderhub.config.findings import Report
-from eiderhub.config.toml import toml_key, toml_value
+from eiderhub.schema.files import MOST_BYTES, Unreadable, read_bytes, read_json, read_toml
+from eiderhub.schema.findings import Path as KeyPath
+from eiderhub.schema.findings import Report
+from eiderhub.schema.toml import toml_key, toml_value
 
 
 def test_a_pipe_is_refused_and_not_waited_for(tmp_path: Path) -> None:
--- a/tests/config/test_units.py
+++ b/tests/config/test_units.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from eiderhub.config.units import parse_duration, parse_size, show_duration, show_size
+from eiderhub.schema.units import parse_duration, parse_size, show_duration, show_size
 
 
 @given(st.integers(1, 10**13))
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -140,8 +140,9 @@
     """A plain sidecar carries nothing of the tools; checked in a process of its own."""
     code = (
         "import sys, eiderhub.sidecar.__main__; "
-        "bad = [m for m in sys.modules if m.startswith(('eiderhub.config', 'eiderhub.routing.options', "
-        "'eiderhub.routing.conflicts', 'tomllib', 'argparse', 'difflib', 'standins'))]; "
+        "bad = [m for m in sys.modules if m.startswith(('eiderhub.config', 'eiderhub.schema', "
+        "'eiderhub.routing.options', 'eiderhub.routing.table', 'eiderhub.routing.conflicts', "
+        "'tomllib', 'argparse', 'difflib', 'standins'))]; "
         "print(bad); sys.exit(bool(bad))"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=False)
