--- a/eiderhub/schema/declared.py
+++ b/eiderhub/schema/declared.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import unicodedata
 from typing import NamedTuple
 from urllib.parse import unquote
 
@@ -29,5 +28,10 @@
 
 def fold(name: str) -> str:
     """A name as a hurried reader, or a lax server, would see it: for names that are another in disguise."""
-    plain = unicodedata.normalize("NFKC", unquote(unquote(name))).casefold()
+    plain = unquote(unquote(name))
+    if not plain.isascii():
+        import unicodedata
+
+        plain = unicodedata.normalize("NFKC", plain)
+    plain = plain.casefold()
     return "".join(c for c in plain if c.isalnum())
--- a/eiderhub/schema/files.py
+++ b/eiderhub/schema/files.py
@@ -6,7 +6,6 @@
 import os
 import re
 import stat
-import tomllib
 from typing import Any, NoReturn
 
 from eiderhub.schema.findings import Path, Report, Spot
@@ -160,6 +159,8 @@
 
 def read_toml(text: str, report: Report) -> dict[str, Any] | None:
     """The document, or None with a finding."""
+    import tomllib  # here, since a reload without an operator's file reads none
+
     spot = Spot(report)
     try:
         value = tomllib.loads(text)
@@ -186,6 +187,8 @@
 
 def _steps(text: str) -> tuple[str, ...]:
     """The parts of a dotted key, quotes and escapes undone by the reader of the document itself."""
+    import tomllib
+
     try:
         value: Any = tomllib.loads(f"{text} = 0")
     except tomllib.TOMLDecodeError:
--- a/eiderhub/schema/kinds.py
+++ b/eiderhub/schema/kinds.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import difflib
 import math
 import re
 from collections.abc import Iterable, Mapping, Sequence
@@ -48,6 +47,8 @@
 
 def nearest(name: str, known: Iterable[str], alike: float = LIKELY) -> str | None:
     """The known name that was probably meant."""
+    import difflib  # only for what is wrong: a reload of a sound file has no use for it
+
     folded = {k.casefold(): k for k in known}
     found = difflib.get_close_matches(name.casefold(), folded, 1, alike)
     return folded[found[0]] if found else None
