The program logs the port it took; stand-ins start it on port 0 and read it there

Cause: a clean run of the tests failed once of many: eight programs side by side took ports that were found free a moment before, and one was asked through another's port (404). Now each takes port 0 and is found by its own log line.

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -140,7 +140,8 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     await server.listener.start_serving()
-    log.info("%s serves on %s:%d", config.name, config.listen.host, config.listen.port)
+    port = server.listener.sockets[0].getsockname()[1]  # the one that was taken, where the file asks for any
+    log.info("%s serves on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
     await drain(server, host)
     for task in background:
--- a/standins/program.py
+++ b/standins/program.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import re
 import socket
 import sys
 from collections.abc import AsyncIterator, Sequence
@@ -38,6 +39,14 @@
             await asyncio.sleep(0.01)
 
 
+async def _port(log: Path) -> int:
+    """The port that the program says it serves on. Raises TimeoutError."""
+    async with asyncio.timeout(START_S):
+        while (found := re.search(r" serves on [^ ]*:(\d+)\n", log.read_text(encoding="utf-8"))) is None:
+            await asyncio.sleep(0.01)
+    return int(found[1])
+
+
 @contextlib.asynccontextmanager
 async def running(
     folder: Path, document: dict[str, Any], operator: str | None = None, command: Sequence[str] = ()
@@ -46,8 +55,8 @@
 
     Raises ChildProcessError, with what it wrote, where it does not start.
     """
-    host, port = free_address()
-    (folder / "sidecar.json").write_text(json.dumps({**document, "listen": f"{host}:{port}"}), encoding="utf-8")
+    # Port 0, and the port from its log: a port that was found free could be another program's a moment later.
+    (folder / "sidecar.json").write_text(json.dumps({**document, "listen": "127.0.0.1:0"}), encoding="utf-8")
     words = list(command) or [sys.executable, "-m", "eiderhub", "sidecar"]
     if operator is not None:
         (folder / "operator.toml").write_text(operator, encoding="utf-8")
@@ -59,15 +68,16 @@
     )
     log.close()
     try:
-        ready = asyncio.create_task(wait_ready(host, port))
+        ready = asyncio.create_task(_port(folder / "log.txt"))
         ended = asyncio.create_task(process.wait())
         await asyncio.wait((ready, ended), return_when=asyncio.FIRST_COMPLETED)
         if ended.done():
             ready.cancel()
             raise ChildProcessError((folder / "log.txt").read_text(encoding="utf-8"))
-        await ready
         ended.cancel()
-        yield process, host, port
+        port = await ready
+        await wait_ready("127.0.0.1", port)
+        yield process, "127.0.0.1", port
     finally:
         if process.returncode is None:
             process.kill()
