--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -3,7 +3,7 @@
     python -m benchmarks.admission
 
 The least of many short rounds, taken by turns: on a busy machine the least is what the code needs, and the rest is the
-machine. Beside it stands the sidecar's whole CPU for a request, from `benchmarks.proxy`, to see what share that is.
+machine. `benchmarks.proxy` has the sidecar's whole CPU for a request, to hold it against.
 """
 
 from __future__ import annotations
@@ -20,7 +20,6 @@
 
 ROUTES = 1000
 ROUNDS = 300
-WHOLE_US = 150.0  # CPU of the sidecar for a whole request, as `benchmarks.proxy` has it on the same kind of machine
 SETTINGS = Settings(
     classes=[RequestClass("look", 1_000_000, 3_000_000, Effect.IDEMPOTENT)], tenants=[Tenant("acme", 1.0)]
 )
@@ -59,7 +58,7 @@
     for name, us in least.items():
         print(f"{name:<12} {us:.2f} us a request")
     more = with_routes - without
-    print(f"routes add {more:.2f} us, x {with_routes / without:.2f}: {more / WHOLE_US:.1%} of {WHOLE_US:g} us")
+    print(f"routes add {more:.2f} us, x {with_routes / without:.2f}")
 
 
 if __name__ == "__main__":
--- a/eiderhub/config/command.py
+++ b/eiderhub/config/command.py
@@ -9,8 +9,7 @@
 from typing import Any
 
 from eiderhub.config import explain as explaining
-from eiderhub.config.check import Result, check, units
-from eiderhub.config.load import Source, examine
+from eiderhub.config.check import Result, check
 from eiderhub.config.operator import OWNERS, owner
 from eiderhub.config.write import write
 from eiderhub.routing.target import Asked
@@ -208,5 +207,3 @@
         return "; needed"
     return f"; {key.default} where it is left out" if isinstance(key.default, str) else ""
 
-
-__all__ = ["Source", "examine", "main", "units"]
--- a/eiderhub/config/describe.py
+++ b/eiderhub/config/describe.py
@@ -89,7 +89,6 @@
         Key("loopback", Flag(), "whether the sidecar may listen on loopback addresses only", None),
     )
 )  # fmt: skip
-FLEET_KEYS = frozenset(key.name for key in APPLICATION.keys)
 
 
 def is_description(document: dict[str, Any]) -> bool:
--- a/eiderhub/routing/options.py
+++ b/eiderhub/routing/options.py
@@ -9,7 +9,7 @@
 from eiderhub.routing.compile import ClassRule, PoolRule, plan
 from eiderhub.routing.conflicts import find_conflicts, meet, unreachable
 from eiderhub.routing.plan import FIRST_PART, METHOD, REFUSE, Plan
-from eiderhub.routing.table import MAX_ROUTES, Pattern, Route, TableError, read_pattern
+from eiderhub.routing.table import MAX_ROUTES, PARAM, Pattern, Route, TableError, read_pattern
 from eiderhub.routing.table import Table as Compiled
 from eiderhub.schema.declared import DECLARED, STRICTNESS, Declared, fold
 from eiderhub.schema.findings import Spot
@@ -462,7 +462,7 @@
     if route.service or route.call:
         return False
     parts = route.pattern.parts
-    if parts and parts[0] != b"{}":
+    if parts and parts[0] != PARAM:
         return fold(parts[0].decode("ascii")) == name
     # A template or prefix over everything: it is the guard that comes first, where there is one.
     spelling = _spelt(name, names).lower().encode()
