--- a/eiderhub/config/check.py
+++ b/eiderhub/config/check.py
@@ -48,7 +48,10 @@
     result.files = len(files)
     descriptions = [path for path in files if path.endswith(".toml") and _is_description(path)]
     for path in descriptions:
-        result.findings += outcome(path).findings
+        try:
+            result.findings += outcome(path).findings
+        except Unreadable as error:  # it was there a moment ago; what else was found still counts
+            result.unreadable.append(str(error))
     for unit in units([path for path in files if path not in descriptions]):
         try:
             examined = examine(Source.of(unit.sidecar), Source.of(unit.operator))
