Endpoints that tipped over rest; the cap goes with the endpoints that are in use

Need: a crowded endpoint turns two to three times slower and stays so under the load that it bore before.

Seen: a cap learned with all endpoints was laid on the warm ones left while others were cold or gone; what was out at endpoints that had left filled it besides; it climbed to twice its start after any outcome that had met it once; and an endpoint that had tipped never got the idle seconds that bring it back.

Change: the cap is calls for each endpoint in use (ejected, cold and resting ones count by their part), with less room above its start while a part is out.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -29,6 +29,7 @@
     RequestClass,
     Settings,
 )
+from eiderhub.policy.rest import Rest, due
 
 # --- request units and buckets ---
 BASE_COST_RU = 1.0  # RU a call costs before anything is known of it
@@ -60,7 +61,7 @@
 
 # --- concurrency ---
 START_CALLS = 7.0  # in-flight calls an endpoint is taken to bear, from all copies together, before we learn
-SURE_STARTS = 2.0  # times that, the cap grows only by what was seen at the cap itself
+SURE_CALLS = 14.0  # past that, the cap grows only by what was seen at the cap itself
 FLOOR_CALLS = 2.0  # and in any trouble: a floor that is too low starves sound endpoints once trouble is over
 REMOTE_PART = 0.25  # part of that granted in other zones, whose own callers come first
 MIN_CAP = 0.1  # calls; the sum over many copies must still be small
@@ -78,8 +79,11 @@
 GROW_CALLS = 0.3  # and at least this many calls
 DEEPEST_CUT = 0.6  # a bad round leaves at least this share of the cap
 FULL_COUNTS = 1.0  # an endpoint that turns a call away counts as a call that took this share of its aim
+GROW_EVERY_US = 2_500_000  # past what is sure it grows no faster: crowding takes so long to show
 BINDING = 0.7  # the cap binds when this share of it is in use
-BOUND_PART = 0.5  # part of a round for which it must have done so, once the cap has grown far
+SURE_PART = 0.25  # part of a round for which it must have done so; once, or a burst would find room to tip in
+BOUND_PART = 0.5  # and part of a round once the cap has grown far
+SHY = 5.0  # what is learned above the start falls this many times as fast as the part of endpoints in use
 LOW_TIER_SHARE = 0.8  # share of the cap open to the lower tiers, so the rest finds room at once
 LOW_WORTH = 0.5  # tiers worth less than this share of the best class are lower tiers
 
@@ -110,6 +114,7 @@
 SLOW_WEIGHT = 0.2  # weight of the newest latency in an endpoint's mean
 SLOW_RANGE = 4.0  # an endpoint counts as at most this many times slower or faster than its peers
 COLD_USE = 0.5  # of the multiple that a cold endpoint bears, the share that all copies together use
+COUNT_EVERY_US = 50_000  # the part of a pool's endpoints in use is counted this often
 RATE_RISE, RATE_FALL = 0.2, 0.01  # weight of the newest window in a pool's rate
 OUTLIER = 2.0  # endpoints slower than their peers by this are left out of the ratio and the cap
 
@@ -299,10 +304,9 @@
     """
 
     def __init__(self, layer: int) -> None:
-        self.cap = 0.0  # set when the first list comes
-        self.floor = MIN_CAP
-        self.open = 1.0  # the part of the cap whose endpoints are in use
-        self.sure = 0.0  # up to here the cap climbs easily: what endpoints bear on any day
+        self.each = START_CALLS  # calls that an endpoint is taken to bear, from all copies together
+        self.fair = 0.0  # this copy's part of the endpoints: shares of it bound the sum over all copies
+        self.open = 1.0  # the part of their capacity that is in use
         self.in_flight = 0
         self.dither = 0.0
         self.next_dither = 0
@@ -315,12 +319,17 @@
         self.roots = CHANCE_ROOTS if layer else CHANCE_ROOTS_OUTSIDE
         self.slack = 0.5  # 1 uncrowded, 0 with latencies at their target
         self.changed = 0
+        self.grown = 0
 
-    def size(self, fair: float) -> None:
-        """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies."""
-        self.floor = max(MIN_CAP, FLOOR_CALLS * fair)
-        self.sure = SURE_STARTS * START_CALLS * fair
-        self.cap = max(self.cap or START_CALLS * fair, self.floor)
+    @property
+    def cap(self) -> float:
+        """The cap on the mean of calls in flight: it shrinks and grows with the endpoints in use.
+
+        Danger: a cap learned with all endpoints falls on the few left, or on cold ones, and jams those in turn.
+        While a part is out, retries and returning endpoints crowd the rest, which bear less than was learned.
+        """
+        learned = max(0.0, self.each - START_CALLS) * max(0.0, 1.0 - SHY * (1.0 - self.open))
+        return max(MIN_CAP, min(self.each, START_CALLS + learned) * self.fair * self.open)
 
     def room(self, scarcity: float) -> float:
         """The calls that may be out at one moment, while the cap bounds their mean.
@@ -329,7 +338,7 @@
         would refuse work half done while its endpoints sit idle. As latencies near their target the room
         closes to the cap, and the outermost tier has least: what is too much is to be refused there.
         """
-        cap = self.open * self.cap
+        cap = self.cap
         return cap + self.roots * self.slack * (1.0 - scarcity) * math.sqrt(cap)
 
     def full(self, now: int, room: float, rng: random.Random) -> bool:
@@ -347,25 +356,28 @@
         if sent < self.changed:
             return
         self.round.add(share)
-        cap = self.open * self.cap
+        cap = self.cap
         self.bound += self.in_flight >= BINDING * cap
-        if self.round.total < ROUND_SAMPLES + ROUND_PER_CALL * cap:
-            return
+        if self.round.total >= ROUND_SAMPLES + ROUND_PER_CALL * cap:
+            self._close(now, cap)
+
+    def _close(self, now: int, cap: float) -> None:
         median = self.round.above(0.5)
         self.median += (BASE_WEIGHT if self.median else 1.0) * (median - self.median)
         # Danger: where each round drifts, a busy day is learned as its uncrowded state; the cap climbs with
         # it for minutes, until a burst jams all endpoints. Covers any lasting overload. Where endpoints slow
         # down for good, that is learned late: once the cap has fallen to what they surely bear.
-        drift = 1.0 if self.bound and self.cap > self.sure else BASE_DRIFT
+        drift = 1.0 if self.bound and self.each > SURE_CALLS else BASE_DRIFT
         # Guards against a start amid overload: what was always slow is not taken for the uncrowded state.
         self.base = min(self.base * drift if self.base else self.normal, self.median)
         target = max(TARGET_LEAST_RISE * self.base, min(TARGET_RISE * self.base, self.most))
         self.slack = min(1.0, max(0.0, TARGET_RISE * (1.0 - median / target)))
         if median > target:
-            self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
+            self.each = max(FLOOR_CALLS, self.each * max(DEEPEST_CUT, target / median))
             self.changed = now
-        elif self._tried():
-            self.cap += max(GROW_CALLS, GROW_SHARE * self.cap)
+        elif self._tried() and (self.each < SURE_CALLS or now >= self.grown + GROW_EVERY_US):
+            self.each += max(GROW_CALLS * self.each / cap, GROW_SHARE * self.each)
+            self.grown = now
         self.round, self.bound = Histogram(), 0
 
     def _tried(self) -> bool:
@@ -374,7 +386,7 @@
         Guards against bursts, and against what a few endpoints bear a while in place of others: calls that
         met a cap far off, or a part of it, say nothing of the whole.
         """
-        part = BOUND_PART if self.cap > self.sure else 0.0
+        part = BOUND_PART if self.each > SURE_CALLS else SURE_PART
         return self.open == 1.0 and self.bound > part * self.round.total
 
 
@@ -432,7 +444,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "labels", "launched", "order", "ready", "slow", "used", "weight", "zone",
+        "in_flight", "kind", "labels", "launched", "order", "ready", "rest", "slow", "used", "weight",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -441,6 +454,7 @@
         self.in_flight = 0
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
+        self.rest = Rest()
         self.failed_at = 0
         self.declines = 0  # calls turned away in a row
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
@@ -460,6 +474,7 @@
             self.credit = -1.0
             self.failing = self.slow = 0.0
             self.ejected_until = self.ejections = 0
+            self.rest.forget()
 
 
 class Subset:
@@ -582,6 +597,7 @@
         self.subset = Subset()
         self.limit = ConcurrencyLimit(layer)
         self.sent = 0  # in this refill window
+        self.counted_at = 0  # when the part of its endpoints in use was last counted
         self.rate = 0.0  # calls sent a second; falls slowly, so that slow start does not feed on itself
 
     def turn(self) -> None:
@@ -661,6 +677,7 @@
         self.fleet_failing = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
         self.fleet_latency = 0.0
+        self.rest_ends = 0  # the end of the last rest that was given
         self.sweep_at = -1
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
         self.ask_wait = ASK_BACKOFF_US
@@ -738,9 +755,11 @@
                 (placement.local, near, 1.0),
                 (placement.remote, far, REMOTE_PART if near else 1.0),
             ):
-                pool.limit.size(fair * part)
-                size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.cap))
+                pool.limit.fair = fair * part
+                pool.counted_at = 0
+                size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.each * pool.limit.fair))
                 pool.subset.fill(members, s.rank, s.balancers, size)
+        self._recount()
 
     def _share_out(self) -> None:
         """Note what was sent, and leave to a bound class the endpoints that it fills.
@@ -783,6 +802,7 @@
         if now_us >= buckets.next_refill:
             buckets.refill(now_us)
             self._share_out()
+            self._give_rest(now_us)
         bucket = buckets.find(tenant or "")
         new = self.calls[call] = Call(call, self.classes[grade], now_us, now_us + expires_in_us, bucket)
         bucket.heard = now_us
@@ -856,11 +876,12 @@
     def _copy(self, now: int, call: Call) -> None:
         """Send a second copy: answers an endpoint that pauses or hangs under a call that is safe to repeat.
 
-        Acts only while nothing is scarce: no stress, nobody held, room under the cap, retries left.
+        Acts only while nothing is scarce: no stress, nobody held, no endpoint at rest, room under the cap,
+        retries left.
         """
         if call.answered or len(call.attempts) != 1 or not call.outstanding or call.grade.max_attempts == 1:
             return
-        if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0:
+        if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0 or now < self.rest_ends:
             return
         if self._try_send(now, call):
             self.retries.spend()
@@ -974,7 +995,28 @@
         Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
         so each copy sends it that part of what its warm endpoints get, and so do all copies together.
         """
-        return warmth * self._returned(now, e)
+        return warmth * self._returned(now, e) * e.rest.part(now)
+
+    def _give_rest(self, now: int) -> None:
+        """Spare the endpoints that have tipped over; what they still hold is not held against the others."""
+        begun = False
+        for placement in self.placements:
+            for pool in placement.pools:
+                for rest in due(now, [e.rest for e in pool.subset.members]):
+                    rest.begin(now)
+                    self.rest_ends = rest.until
+                    pool.counted_at, begun = 0, True
+        if begun:
+            self._recount()
+
+    def _recount(self) -> None:
+        """Count calls in flight anew, without those at endpoints that have left or rest: the cap is on the others."""
+        for placement in self.placements:
+            placement.local.limit.in_flight = placement.remote.limit.in_flight = 0
+        for call in self.calls.values():
+            for n in call.outstanding:
+                e, sent, pool, _ = call.attempts[n]
+                pool.limit.in_flight += e.ready and sent >= e.rest.since
 
     def _returned(self, now: int, e: EndpointState) -> float:
         """The part of its calls that an endpoint may have while it is ejected, and after."""
@@ -986,13 +1028,14 @@
     def _in_use(self, now: int, pool: Pool) -> float:
         """The part of a pool's endpoints that is in use, not ejected: as much of its cap is open.
 
-        Danger: a cap learned with all endpoints falls on the few left and jams those in turn. Covers whatever
-        ejects. Could hurt where sound endpoints are ejected while the rest have capacity to spare.
+        Covers ejection, slow start and rest; read again now and then. Could hurt where sound endpoints are
+        ejected while the rest have capacity to spare.
         """
-        if not self.ejected:
-            return 1.0
+        if now < pool.counted_at + COUNT_EVERY_US:
+            return pool.limit.open
+        pool.counted_at = now
         members = pool.subset.members
-        return sum(self._returned(now, e) for e in members) / len(members)
+        return sum(self._part(now, e, self._warmth(now, e)) for e in members) / len(members)
 
     def _warmth(self, now: int, e: EndpointState) -> float:
         """The least part of its capacity that the endpoint has, by its stated start."""
@@ -1068,7 +1111,8 @@
         if not e.ready and not e.in_flight and self.endpoints.get(e.id) is e:
             del self.endpoints[e.id]
         e.used = now_us
-        pool.limit.in_flight -= 1
+        if e.ready and sent >= e.rest.since:
+            pool.limit.in_flight -= 1
         if step >= 0 and outcome not in NEVER_RAN:
             silent = outcome in UNANSWERED
             long = spent_us > SILENT_RISE * pool.limit.median * found.grade.aim_us > 0
@@ -1114,8 +1158,11 @@
             self.fleet_latency += FLEET_WEIGHT * (share - self.fleet_latency)
             relative = min(max(share / self.fleet_latency, 1 / SLOW_RANGE), SLOW_RANGE)
             e.slow = e.slow + SLOW_WEIGHT * (relative - e.slow) if e.slow else 0.5 + 0.5 * relative
-        outlier = e.slow > OUTLIER and share > self.fleet_latency
-        if not outlier:  # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
+            if pool.limit.base and sent >= e.rest.since:
+                e.rest.learn(share / pool.limit.base)
+        # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
+        outlier = (e.slow > OUTLIER and share > self.fleet_latency) or sent < e.rest.since
+        if not outlier:
             if ok or outcome is Outcome.TIMEOUT:
                 self.ratio.record(now, share)
             if ok or outcome is Outcome.TIMEOUT or (outcome is Outcome.FULL and not leaving):
@@ -1134,6 +1181,8 @@
         if sum(now < o.ejected_until for o in self.ejected) + 1 > MAX_EJECTED * self.ready:
             return
         self.ejected.append(e)
+        for placement in self.placements:
+            placement.local.counted_at = placement.remote.counted_at = 0
         e.ejections += 1
         wait = min(EJECT_US * 2 ** (e.ejections - 1), EJECT_MAX_US)
         e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
@@ -1147,8 +1196,9 @@
         tries = min(tries, call.grade.max_attempts or tries)
         legal = call.first_run is None or call.grade.effect is not Effect.AT_MOST_ONCE
         legal = legal and len(call.attempts) < tries and now < call.due - ANSWER_MARGIN_US
-        # What was turned away unseen made no work: the budget is for retries of what may have.
-        if legal and (outcome in NEVER_RAN or self.retries.spend()):
+        # What was turned away unseen made no work: the budget is for retries of what may have. While an endpoint
+        # rests there are none of those: retries are what keeps a jam up.
+        if legal and (outcome in NEVER_RAN or (now >= self.rest_ends and self.retries.spend())):
             for pool in self.placement[call.grade.name].pools:
                 if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
--- /dev/null
+++ b/eiderhub/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the decisions that stand by themselves; `eiderhub.balancer` puts them to use."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from eiderhub.balancer import SOJOURN_INTERVAL_US, ConcurrencyLimit, TokenBuckets
+from eiderhub.balancer import FLOOR_CALLS, SOJOURN_INTERVAL_US, ConcurrencyLimit, TokenBuckets
 from eiderhub.interface import Goal, Limits, Outcome, Prices
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
@@ -69,23 +69,23 @@
     """Found on simulated days: slow endpoints drew the cap down to its floor while the others sat idle."""
     for slow_in_ten, falls in ((2, False), (10, True)):
         limit = ConcurrencyLimit(0)
-        limit.size(2.0)
+        limit.fair = 2.0
         start = limit.cap
         for i in range(400):
             late = i > 100 and i % 10 < slow_in_ten
             limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.9 if late else 0.1)
         assert (limit.cap < start) is falls
-        assert limit.cap >= limit.floor
+        assert limit.cap >= FLOOR_CALLS * limit.fair
 
 
 def test_cap_judges_only_calls_sent_since_its_last_change() -> None:
     """Found on simulated days: late outcomes of calls sent before a cut brought the cap down to one call."""
     limit = ConcurrencyLimit(0)
-    limit.size(4.0)
+    limit.fair = 4.0
     for _ in range(100):
         limit.learn(10 * S, 9 * S, 0.9)
     once = limit.cap
-    assert limit.floor < once < 6.0 * 4.0
+    assert FLOOR_CALLS * limit.fair < once < 6.0 * 4.0
     for _ in range(100):
         limit.learn(11 * S, 9 * S, 0.9)
     assert limit.cap == once
@@ -145,7 +145,7 @@
 def test_endpoint_that_turns_calls_away_draws_few_and_does_not_cut_the_cap() -> None:
     """Found in an incident: one that drained took most of the sends and was counted as crowding."""
     host = Host(settings(balancers=1), endpoints(4))
-    cap = host.balancer.placements[0].local.limit.cap
+    cap = host.balancer.placements[0].local.limit.each
     leaving = endpoints(1)[0].id
     for _ in range(200):
         call = host.order("pay")
@@ -158,7 +158,7 @@
         host.advance(10 * MS)
     late = [d[2] for d in host.sends()[-150:]]
     assert late.count(leaving) < 10
-    assert host.balancer.placements[0].local.limit.cap >= cap
+    assert host.balancer.placements[0].local.limit.each >= cap
 
 
 def test_trouble_that_all_share_leaves_most_endpoints_in_use() -> None:
@@ -247,7 +247,7 @@
         (1, 0.9, 0.0, 0.0),
     ):
         limit = ConcurrencyLimit(layer)
-        limit.size(0.2)
+        limit.fair = 0.2
         for i in range(60):
             limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.05 if i < 30 else share)
         assert more <= limit.room(scarcity) - limit.cap < more + 1.2
