--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -307,6 +307,7 @@
         self.each = START_CALLS  # calls that an endpoint is taken to bear, from all copies together
         self.fair = 0.0  # this copy's part of the endpoints: shares of it bound the sum over all copies
         self.open = 1.0  # the part of their capacity that is in use
+        self.warm = 1.0  # the part that is surely there: neither cold, nor at rest, nor out of reach
         self.in_flight = 0
         self.dither = 0.0
         self.next_dither = 0
@@ -328,7 +329,7 @@
         Danger: a cap learned with all endpoints falls on the few left, or on cold ones, and jams those in turn.
         While a part is out, retries and returning endpoints crowd the rest, which bear less than was learned.
         """
-        learned = max(0.0, self.each - START_CALLS) * max(0.0, 1.0 - SHY * (1.0 - self.open))
+        learned = max(0.0, self.each - START_CALLS) * max(0.0, 1.0 - SHY * (1.0 - self.warm))
         return max(MIN_CAP, min(self.each, START_CALLS + learned) * self.fair * self.open)
 
     def room(self, scarcity: float) -> float:
@@ -444,8 +445,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "labels", "launched", "order", "ready", "rest", "slow", "used", "weight",
-        "zone",
+        "in_flight", "kind", "labels", "launched", "order", "ready", "rest", "slow", "unreachable", "used",
+        "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -455,6 +456,7 @@
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
         self.rest = Rest()
+        self.unreachable = False  # the last call found nobody there: a failed answer may come from a sound one
         self.failed_at = 0
         self.declines = 0  # calls turned away in a row
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
@@ -1002,10 +1004,13 @@
         begun = False
         for placement in self.placements:
             for pool in placement.pools:
-                for rest in due(now, [e.rest for e in pool.subset.members]):
-                    rest.begin(now)
-                    self.rest_ends = rest.until
+                tipped = due(now, [e.rest for e in pool.subset.members])
+                for e in [e for e in pool.subset.members if e.rest in tipped]:
+                    slower = e.rest.pace
+                    e.rest.begin(now)
+                    self.rest_ends = e.rest.until
                     pool.counted_at, begun = 0, True
+                    self.actions.write_log(f"endpoint {e.id} rests: its calls take {slower:.1f} times the usual")
         if begun:
             self._recount()
 
@@ -1035,6 +1040,9 @@
             return pool.limit.open
         pool.counted_at = now
         members = pool.subset.members
+        sure = [self._returned(now, e) if e.unreachable else 1.0 for e in members]
+        parts = zip(sure, members, strict=True)
+        pool.limit.warm = sum(p * self._warmth(now, e) * e.rest.part(now) for p, e in parts) / len(members)
         return sum(self._part(now, e, self._warmth(now, e)) for e in members) / len(members)
 
     def _warmth(self, now: int, e: EndpointState) -> float:
@@ -1145,6 +1153,7 @@
             self._eject(now, e, "turns calls away")
         if outcome is not Outcome.FULL:  # a full endpoint is busy, not ill
             failed = 0.0 if ok else 1.0
+            e.unreachable = outcome is Outcome.CONNECT_FAILED
             self.fleet_failing += FLEET_WEIGHT * (failed - self.fleet_failing)
             # Guards against one pause that fails all calls in flight: together they count as one failure.
             if ok or sent >= e.failed_at:
@@ -1196,9 +1205,8 @@
         tries = min(tries, call.grade.max_attempts or tries)
         legal = call.first_run is None or call.grade.effect is not Effect.AT_MOST_ONCE
         legal = legal and len(call.attempts) < tries and now < call.due - ANSWER_MARGIN_US
-        # What was turned away unseen made no work: the budget is for retries of what may have. While an endpoint
-        # rests there are none of those: retries are what keeps a jam up.
-        if legal and (outcome in NEVER_RAN or (now >= self.rest_ends and self.retries.spend())):
+        # What was turned away unseen made no work: the budget is for retries of what may have.
+        if legal and (outcome in NEVER_RAN or self.retries.spend()):
             for pool in self.placement[call.grade.name].pools:
                 if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
