Resets of several calls at once tell that an endpoint is gone, and close its part of the room

Seen: a process that ends resets what it holds; it is ejected by that, never counted as out of reach, and the room learned with it stayed open on the others. Spoilt answers are resets too, yet come one by one.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -105,6 +105,7 @@
 FLEET_WEIGHT = 0.02  # and in the failure share of all
 EJECT_FAILING = 0.45  # failure share at which an endpoint is ejected: two failures in a row pass it
 EJECT_VERSUS_PEERS = 0.5  # and this share of all endpoints' failure share more: shared trouble ejects nobody
+TOGETHER_US = 20_000  # resets so close to each other tell of a process that is gone, not of a spoilt answer
 LEAVING_DECLINES = 3  # calls turned away in a row by which an endpoint is taken to be leaving, not busy
 MAX_EJECTED = 0.5  # share of the known endpoints, in all zones, that may be out at once
 EJECT_US = 3_000_000  # first ejection; each further one doubles it
@@ -1153,7 +1154,8 @@
             self._eject(now, e, "turns calls away")
         if outcome is not Outcome.FULL:  # a full endpoint is busy, not ill
             failed = 0.0 if ok else 1.0
-            e.unreachable = outcome is Outcome.CONNECT_FAILED
+            together = outcome is Outcome.RESET and now - e.failed_at < TOGETHER_US
+            e.unreachable = outcome is Outcome.CONNECT_FAILED or together
             self.fleet_failing += FLEET_WEIGHT * (failed - self.fleet_failing)
             # Guards against one pause that fails all calls in flight: together they count as one failure.
             if ok or sent >= e.failed_at:
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -273,6 +273,19 @@
     assert (each > 1.9 * START_CALLS) is not narrowed
 
 
+@pytest.mark.parametrize(("apart", "gone"), [(5 * MS, True), (300 * MS, False)])
+def test_resets_of_several_calls_at_once_tell_that_an_endpoint_is_gone(apart: int, gone: bool) -> None:
+    """Found on churn days: a process that ends resets what it holds; spoilt answers come one by one."""
+    host, ids = fleet()
+    for call in [host.order() for _ in range(12)]:
+        if host.sent.get(call, [""])[-1] == ids[0]:
+            host.advance(apart)
+            host.reply(call, Outcome.RESET)
+    state = host.balancer.endpoints[ids[0]]
+    assert state.failed_at
+    assert state.unreachable is gone
+
+
 def test_a_burst_that_ends_as_a_rest_begins_leaves_the_tier_whole_afterwards() -> None:
     host, ids = fleet()
     play_until_rest(host, frozenset(ids[:2]))
