--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -327,7 +327,7 @@
     def cap(self) -> float:
         """The cap on the mean of calls in flight: it shrinks and grows with the endpoints in use.
 
-        Danger: a cap learned with all endpoints falls on the few left, or on cold ones, and jams those in turn.
+        Danger: a cap learned with all endpoints falls on the few left, or on cold ones, and jams those too.
         While a part is out, retries and returning endpoints crowd the rest, which bear less than was learned.
         """
         learned = max(0.0, self.each - START_CALLS) * max(0.0, 1.0 - SHY * (1.0 - self.warm))
@@ -457,7 +457,7 @@
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
         self.rest = Rest()
-        self.unreachable = False  # the last call found nobody there: a failed answer may come from a sound one
+        self.unreachable = False  # the last call found nobody there; a spoilt answer may be a sound one's
         self.failed_at = 0
         self.declines = 0  # calls turned away in a row
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
@@ -934,7 +934,7 @@
             if not pool.subset.members:
                 continue
             limit = pool.limit
-            limit.open = self._in_use(now, pool)
+            self._count_in_use(now, pool)
             if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
                 continue
@@ -1011,12 +1011,13 @@
                     e.rest.begin(now)
                     self.rest_ends = e.rest.until
                     pool.counted_at, begun = 0, True
-                    self.actions.write_log(f"endpoint {e.id} rests: its calls take {slower:.1f} times the usual")
+                    text = f"endpoint {e.id} rests: its calls take {slower:.1f} times the usual"
+                    self.actions.write_log(text)
         if begun:
             self._recount()
 
     def _recount(self) -> None:
-        """Count calls in flight anew, without those at endpoints that have left or rest: the cap is on the others."""
+        """Count calls in flight anew: the cap is not on those at endpoints that have left or rest."""
         for placement in self.placements:
             placement.local.limit.in_flight = placement.remote.limit.in_flight = 0
         for call in self.calls.values():
@@ -1031,20 +1032,23 @@
             return 1.0
         return 0.0 if since < 0 else RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
 
-    def _in_use(self, now: int, pool: Pool) -> float:
-        """The part of a pool's endpoints that is in use, not ejected: as much of its cap is open.
+    def _count_in_use(self, now: int, pool: Pool) -> None:
+        """Read now and then which part of a pool's endpoints is in use, and which is surely there.
 
-        Covers ejection, slow start and rest; read again now and then. Could hurt where sound endpoints are
-        ejected while the rest have capacity to spare.
+        Covers ejection, slow start and rest. Could hurt where sound endpoints are ejected while the rest have
+        capacity to spare. What spoilt answers ejected is out of use, yet it is there.
         """
         if now < pool.counted_at + COUNT_EVERY_US:
-            return pool.limit.open
+            return
         pool.counted_at = now
-        members = pool.subset.members
-        sure = [self._returned(now, e) if e.unreachable else 1.0 for e in members]
-        parts = zip(sure, members, strict=True)
-        pool.limit.warm = sum(p * self._warmth(now, e) * e.rest.part(now) for p, e in parts) / len(members)
-        return sum(self._part(now, e, self._warmth(now, e)) for e in members) / len(members)
+        open_ = warm = 0.0
+        for e in pool.subset.members:
+            part = self._warmth(now, e) * e.rest.part(now)
+            returned = self._returned(now, e)
+            open_ += part * returned
+            warm += part * (returned if e.unreachable else 1.0)
+        pool.limit.open = open_ / len(pool.subset.members)
+        pool.limit.warm = warm / len(pool.subset.members)
 
     def _warmth(self, now: int, e: EndpointState) -> float:
         """The least part of its capacity that the endpoint has, by its stated start."""
@@ -1169,7 +1173,8 @@
             self.fleet_latency += FLEET_WEIGHT * (share - self.fleet_latency)
             relative = min(max(share / self.fleet_latency, 1 / SLOW_RANGE), SLOW_RANGE)
             e.slow = e.slow + SLOW_WEIGHT * (relative - e.slow) if e.slow else 0.5 + 0.5 * relative
-            if pool.limit.base and sent >= e.rest.since:
+            # Guards against rest for endpoints that are slow because they are cold.
+            if pool.limit.base and sent >= e.rest.since and self._warmth(sent, e) == 1.0:
                 e.rest.learn(share / pool.limit.base)
         # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
         outlier = (e.slow > OUTLIER and share > self.fleet_latency) or sent < e.rest.since
--- a/eiderhub/policy/rest.py
+++ b/eiderhub/policy/rest.py
@@ -1,11 +1,12 @@
 """Which endpoints have tipped over, and the rest that brings them back.
 
-An endpoint that was crowded for some seconds turns two to three times slower, and stays so until it has been mostly
-idle for some seconds more. The load that it bore with ease before keeps it slow. What shows it is its pace: the mean
-latency of its own calls against the pool's uncrowded one. Sidecars share nothing, yet each sees the same pace.
+An endpoint that was crowded for some seconds turns two to three times slower, and stays so until it has been
+mostly idle for some seconds more. The load that it bore with ease before keeps it slow. What shows it is its
+pace: the mean latency of its own calls against the pool's uncrowded one. Sidecars share nothing, yet each
+sees the same pace.
 
-Danger: rest takes capacity away, and slowness of all endpoints alike (something that they all wait for) is no jam: so
-only an endpoint in contrast to sound peers rests, and never more than a part of a pool.
+Danger: rest takes capacity away, and slowness of all endpoints alike (something that they all wait for) is no
+jam: so only an endpoint in contrast to sound peers rests, and never more than a part of a pool.
 """
 
 from __future__ import annotations
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -56,9 +56,14 @@
     assert [pool.index(r) for r in due(NOW, pool)] == expected, case
 
 
-def test_a_cold_fleet_gets_no_rest() -> None:
-    """A cold endpoint is slow by nature, and all of a fresh fleet are; none has sound peers to stand out from."""
-    assert due(NOW, paced(2.6, 2.9, 2.4, 2.6, 3.1, 2.8)) == []
+def test_a_cold_endpoint_is_slow_by_nature_and_gets_no_rest() -> None:
+    host, _ = fleet()
+    cold = endpoints(1, start=6, launched=host.now)
+    host.balancer.discovery(host.now, ListForm.DELTA, cold)
+    for _ in range(32):
+        play(host, 0.25, frozenset(e.id for e in cold))
+        assert not resting(host)
+    assert not host.balancer.endpoints[cold[0].id].rest.samples
 
 
 def test_whatever_the_paces_half_of_the_pool_is_left_and_all_copies_choose_alike() -> None:
