Classes rank by their worth to the goal; attempts end when their answer is worth nothing

The rank looked at a class's credit alone; only crossing zones asked what a call is worth to the goal. They end with the aim now where the class has no late share.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -647,15 +647,14 @@
             for c in whole
             for over in (False, True)
         }
-        ranked = sorted(worths, key=lambda k: (-worths[k], k))
-        self.level = {k: i for i, k in enumerate(ranked)}
-        self.worth = [worths[k] for k in ranked]
         goal = settings.goal
         even = goal.by_class / (goal.by_class + goal.by_worth or 1.0)
         # What a served call is worth to the goal, where the cheapest class may count as much as the best.
-        self.gain = [
-            (1 - even) * worths[k] + even * (settings.over_share_worth if k[1] else 1.0) for k in ranked
-        ]
+        for k in worths:
+            worths[k] = (1 - even) * worths[k] + even * (settings.over_share_worth if k[1] else 1.0)
+        ranked = sorted(worths, key=lambda k: (-worths[k], k))
+        self.level = {k: i for i, k in enumerate(ranked)}
+        self.worth = [worths[k] for k in ranked]
         self.copying = settings.limits.second_copies and settings.layer == 0
         self.started = False
 
@@ -949,7 +948,7 @@
     def _worth_crossing(self, now: int, call: Call) -> bool:
         """Spill to another zone what this one cannot carry; the dearer the crossing, the longer it waits."""
         price = self.settings.prices.cross_zone
-        gain = self.gain[call.level] * SPILL_GAIN
+        gain = self.worth[call.level] * SPILL_GAIN
         if gain <= price:
             return False
         return now - call.arrived >= price / gain * HOLD_SHARE * call.grade.aim_us
@@ -1096,7 +1095,8 @@
         pool.sent += 1
         e.in_flight += 1
         pool.limit.in_flight += 1
-        self.actions.hand_off(call.id, e.id, 0)
+        # Guards against work that goes on when its answer can no longer be worth anything.
+        self.actions.hand_off(call.id, e.id, 0 if call.grade.late_share else call.due - now)
 
     # --- outcomes ---
 
