--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -939,7 +939,7 @@
                 continue
             limit = pool.limit
             self._count_in_use(now, pool)
-            if pool is placement.remote and placement.local.subset.members:  # they carry what this zone has lost
+            if pool is placement.remote and placement.local.subset.members:  # it carries what was lost here
                 limit.fair = placement.local.limit.fair * max(REMOTE_PART, 1.0 - placement.local.limit.open)
             if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
@@ -1031,6 +1031,10 @@
                 e, sent, pool, _ = call.attempts[n]
                 pool.limit.in_flight += e.ready and sent >= e.rest.since
 
+    def _shows_pace(self, sent: int, e: EndpointState) -> bool:
+        """Guards against rest for endpoints that are slow because they were cold, or still held much."""
+        return sent >= e.rest.since and self._warmth(sent, e) == 1.0
+
     def _returned(self, now: int, e: EndpointState) -> float:
         """The part of its calls that an endpoint may have while it is ejected, and after."""
         since = now - e.ejected_until
@@ -1130,8 +1134,7 @@
         e, sent, pool, step = found.attempts[attempt]
         e.in_flight -= 1
         if load is not None and load.busy is not None and e.pull.hear(load.busy, pool.limit.busy):
-            # Guards against rest for endpoints that are slow because they are cold, here and in `_judge`.
-            if (pace := e.pull.pace(load.service_ms)) and sent >= e.rest.since and self._warmth(sent, e) == 1.0:
+            if (pace := e.pull.pace(load.service_ms)) and self._shows_pace(sent, e):
                 e.rest.learn(pace)
         if not e.ready and not e.in_flight and self.endpoints.get(e.id) is e:
             del self.endpoints[e.id]
@@ -1185,7 +1188,7 @@
             self.fleet_latency += FLEET_WEIGHT * (share - self.fleet_latency)
             relative = min(max(share / self.fleet_latency, 1 / SLOW_RANGE), SLOW_RANGE)
             e.slow = e.slow + SLOW_WEIGHT * (relative - e.slow) if e.slow else 0.5 + 0.5 * relative
-            if e.pull.busy is None and pool.limit.base and sent >= e.rest.since and self._warmth(sent, e) == 1.0:
+            if e.pull.busy is None and pool.limit.base and self._shows_pace(sent, e):
                 e.rest.learn(share / pool.limit.base)
         # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
         outlier = (e.slow > OUTLIER and share > self.fleet_latency) or sent < e.rest.since
