--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -72,12 +72,12 @@
         for step in range(600):
             host.advance(25 * MS)
             host.order("look", tenant="big", left=5 * S)
-            late = tips and step > 400
+            late = step > 200
             for call in [c for c in host.sent if c in host.balancer.calls][:-8]:
                 own = host.sent[call][-1] == slow
                 busy = (0.99 if own and late else 0.5) + 0.0001 * (step % 7)
                 service = (90.0 if own else 30.0) * (4.0 if tips and own and late else 1.0)
-                spent = (400 if own else 100) * MS
+                spent = (300 if own else 100) * MS
                 load = Load(busy, service)
                 host.balancer.reply(host.now, call, 0, host.sent[call][-1], spent, True, Outcome.OK, load)
         assert all(slow in d[1] for d in host.did if d[0] == "write_log")
