--- a/benchmarks/jam/fleet.py
+++ b/benchmarks/jam/fleet.py
@@ -9,10 +9,11 @@
 from benchmarks.jam.world import NET_US, Clock, Endpoint, Job
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Endpoint as Listed
-from eiderhub.interface import ListForm, Outcome, Readiness, Settings
+from eiderhub.interface import ListForm, Load, Outcome, Readiness, Settings
 
 MARGIN_US = 40_000  # answers leave this long before a deadline, as the real host has it
 OUTCOMES = {"ok": Outcome.OK, "error": Outcome.ERROR, "full": Outcome.FULL, "down": Outcome.CONNECT_FAILED}
+ANSWERED = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL))  # what came back with an answer
 
 Answer = Callable[[str], None]  # "served", "refused" or "failed"
 
@@ -35,9 +36,16 @@
     """Implements the module's `Actions` on the virtual clock."""
 
     def __init__(
-        self, clock: Clock, settings: Settings, seed: int, endpoints: dict[str, Endpoint], chance: random.Random
+        self,
+        clock: Clock,
+        settings: Settings,
+        seed: int,
+        endpoints: dict[str, Endpoint],
+        chance: random.Random,
+        told: Callable[[str], Load | None] = lambda endpoint: None,
     ) -> None:
         self.clock = clock
+        self.told = told  # the load report that an answer of this endpoint carries now
         self.endpoints = endpoints
         self.chance = chance
         self.tries: dict[str, Try] = {}
@@ -81,7 +89,8 @@
         if outcome is Outcome.OK:
             self._answer(one, "served")
         now = self.clock.now
-        self.balancer.reply(now, one.call, number, found[0], now - found[1], one.answered, outcome)
+        load = self.told(found[0]) if outcome in ANSWERED else None
+        self.balancer.reply(now, one.call, number, found[0], now - found[1], one.answered, outcome, load)
         if one.answered and not one.open:
             self.tries.pop(one.call, None)
 
@@ -93,6 +102,8 @@
         one.open[number] = (endpoint, self.clock.now)
         job = one.job(lambda word: self.clock.after(NET_US, lambda: self._ended(one, number, OUTCOMES[word])))
         self.clock.after(NET_US, lambda: self.endpoints[endpoint].arrive(job, self.chance))
+        if max_wait_us:
+            self.clock.after(max_wait_us, lambda: self._ended(one, number, Outcome.TIMEOUT))
 
     def cancel(self, call: str, attempt: int) -> None:
         one = self.tries.get(call)
--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -459,13 +459,12 @@
     def __init__(self, entry: Endpoint) -> None:
         self.id = entry.id
         self.order = zlib.crc32(entry.id.encode())  # one order for all copies, which the ids tell nothing of
-        self.in_flight = 0
+        self.in_flight = self.failed_at = 0
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
         self.rest = Rest()
         self.pull = Pull()
         self.unreachable = False  # the last call found nobody there; a spoilt answer may be a sound one's
-        self.failed_at = 0
         self.declines = 0  # calls turned away in a row
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
         self.credit_at = 0
@@ -680,9 +679,8 @@
         self._use(s.classes)
         self.ejected: list[EndpointState] = []
         self.ready = 0
-        self.fleet_failing = 0.0
+        self.fleet_failing = self.fleet_latency = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
-        self.fleet_latency = 0.0
         self.rest_ends = 0  # the end of the last rest that was given
         self.sweep_at = -1
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
@@ -1133,9 +1131,11 @@
         found.outstanding.discard(attempt)
         e, sent, pool, step = found.attempts[attempt]
         e.in_flight -= 1
-        if load is not None and load.busy is not None and e.pull.hear(load.busy, pool.limit.busy):
-            if (pace := e.pull.pace(load.service_ms)) and self._shows_pace(sent, e):
-                e.rest.learn(pace)
+        if load is not None and load.busy is not None:
+            # Danger: what is cold reports idle cores since it gets less; its part would climb.
+            warm = self._warmth(now_us, e) == 1.0
+            if e.pull.hear(load.busy, pool.limit.busy if warm else None) and self._shows_pace(sent, e):
+                e.rest.learn(e.pull.pace(load.service_ms))
         if not e.ready and not e.in_flight and self.endpoints.get(e.id) is e:
             del self.endpoints[e.id]
         e.used = now_us
--- a/eiderhub/policy/pull.py
+++ b/eiderhub/policy/pull.py
@@ -36,15 +36,15 @@
         return True
 
     def pace(self, service_ms: float | None) -> float:
-        """The reported service time as a multiple of its usual while cores were free; 0: not known.
+        """The reported service time as a multiple of its usual while cores were free; 1: unknown.
 
         Kinds differ in speed and own latencies in luck, so an endpoint is held against itself.
         """
         if not service_ms or self.busy is None:
-            return 0.0
+            return 1.0
         if self.busy < FREE:
             self.base += (BASE_WEIGHT if self.base else 1.0) * (service_ms - self.base)
-        return service_ms / self.base if self.base else 0.0
+        return service_ms / self.base if self.base else 1.0
 
     def crowded(self) -> bool:
         """Whether its cores may be full, by its last report: one that has tipped over has no idle ones."""
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -98,3 +98,20 @@
     host.balancer.discovery(host.now, ListForm.DELTA, again)
     assert known.pull.part == 1.0
     assert known.pull.busy is None
+
+
+def test_a_cold_endpoint_that_reports_idle_cores_is_given_no_larger_part() -> None:
+    """Rule 4: it is idle since it gets less; a part that climbed meanwhile would push it over once it is warm."""
+    cold = endpoints(1, launched=1_000_000_000)
+    host = Host(entries=[*cold, *endpoints(3, start=1)])
+    for step in range(300):
+        host.advance(25 * MS)
+        host.order("look", tenant="big", left=5 * S)
+        for call in [c for c in host.sent if c in host.balancer.calls][:-4]:
+            endpoint = host.sent[call][-1]
+            load = Load((0.05 if endpoint == cold[0].id else 0.6) + 0.0001 * (step % 7), 30.0)
+            host.balancer.reply(host.now, call, 0, endpoint, 100 * MS, True, Outcome.OK, load)
+    assert len([d for d in host.sends() if d[2] == cold[0].id]) > 3
+    known = host.balancer.endpoints[cold[0].id]
+    assert known.pull.busy is not None
+    assert known.pull.part == 1.0
--- a/tests/test_jam.py
+++ b/tests/test_jam.py
@@ -7,7 +7,9 @@
 import pytest
 
 from benchmarks.jam.__main__ import play
+from benchmarks.jam.fleet import Sidecar, entry
 from benchmarks.jam.world import MS, Clock, Endpoint, Job, S, Tipping
+from eiderhub.interface import Effect, ListForm, RequestClass, Settings
 
 TIPPING = Tipping(at=5.0, over_us=2 * S, slower=3.0, rest_us=4 * S, below=0.3, most_us=20 * S)
 
@@ -80,3 +82,19 @@
     verdict = play(5, "none", 0.3)
     assert (verdict.tipped, verdict.recovery_us) == (0, 0)
     assert verdict.spell > 0.95
+
+
+def test_a_sidecar_of_the_rig_ends_an_attempt_when_the_module_waits_no_longer() -> None:
+    """A rig that went on waiting would flatter a module that gives up on what is worth nothing."""
+    clock = Clock()
+    hung = Endpoint(clock, "e", 1, 1.0, 4, 4, None, None)
+    grade = RequestClass("x", 500 * MS, 2 * S, Effect.AT_MOST_ONCE)
+    sidecar = Sidecar(clock, Settings([grade]), 1, {"e": hung}, random.Random(1))
+    sidecar.listed(ListForm.FULL, [entry(hung, 0)])
+    told: list[tuple[str, int]] = []
+    begun = clock.now
+    sidecar.take(
+        "x", "", 2 * S, lambda done: Job("x", 10 * S, 0, 0, done), lambda word: told.append((word, clock.now - begun))
+    )
+    clock.run(clock.now + 3 * S)
+    assert told == [("failed", 500 * MS)]
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from benchmarks.reports import play
 from eiderhub.interface import Load, Outcome
 from eiderhub.policy.pull import RANGE, Pull, usual
 from eiderhub.reports import read_load
@@ -130,3 +131,11 @@
             assert known.pull.busy == 0.625
 
     run(test())
+
+
+def test_a_fleet_of_unlike_machines_serves_more_and_evens_out_where_reports_come() -> None:
+    """The benchmark's fleet, in virtual time: its claim is the guide's."""
+    without, reporting = (play(3, 0.4, reports) for reports in (False, True))
+    assert reporting.served > without.served
+    assert abs(reporting.slow_busy - reporting.fast_busy) < abs(without.slow_busy - without.fast_busy)
+    assert play(3, 0.4, True) == reporting
