A call that leaves after its aim waits a moment, never without end

Seen in a reading of the whole change: where the host runs late, a held call leaves after its aim, and the wait handed down is 0, which stands for as long as the client stays, or below it (the new test shows it before). It is one microsecond at the least now.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1105,7 +1105,7 @@
         e.in_flight += 1
         pool.limit.in_flight += 1
         # Guards against work that goes on when its answer can no longer be worth anything.
-        self.actions.hand_off(call.id, e.id, 0 if call.grade.late_share else call.due - now)
+        self.actions.hand_off(call.id, e.id, 0 if call.grade.late_share else max(1, call.due - now))
 
     # --- outcomes ---
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -115,3 +115,16 @@
     known = host.balancer.endpoints[cold[0].id]
     assert known.pull.busy is not None
     assert known.pull.part == 1.0
+
+
+def test_a_call_that_leaves_late_waits_a_moment_and_not_for_as_long_as_its_client() -> None:
+    """A wait of 0 stands for no end, and one below it for nothing: both come up where a host runs late."""
+    host = Host(entries=endpoints(4))
+    sent = []
+    while host.sends(call := host.order("look", tenant="big")):
+        sent.append(call)
+    host.now += SAFE.aim_us  # no timer has come: the host stood still
+    for one in sent:
+        host.reply(one, Outcome.OK)
+    (late,) = host.sends(call)
+    assert late[3] == 1
