--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -31,7 +31,6 @@
     Settings,
 )
 from eiderhub.policy.pull import Pull, usual
-from eiderhub.policy.rest import Rest, due
 
 # --- request units and buckets ---
 BASE_COST_RU = 1.0  # RU a call costs before anything is known of it
@@ -452,8 +451,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "labels", "launched", "order", "pull", "ready", "rest", "slow", "unreachable",
-        "used", "weight", "zone",
+        "in_flight", "kind", "labels", "launched", "order", "pull", "ready", "slow", "unreachable", "used",
+        "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -462,7 +461,6 @@
         self.in_flight = self.failed_at = 0
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
-        self.rest = Rest()
         self.pull = Pull()
         self.unreachable = False  # the last call found nobody there; a spoilt answer may be a sound one's
         self.declines = 0  # calls turned away in a row
@@ -482,7 +480,6 @@
             self.failing = self.slow = 0.0
             self.ejected_until = self.ejections = 0
             self.pull = Pull()
-            self.rest.forget()
 
 
 class Subset:
@@ -681,7 +678,6 @@
         self.ready = 0
         self.fleet_failing = self.fleet_latency = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
-        self.rest_ends = 0  # the end of the last rest that was given
         self.sweep_at = -1
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
         self.ask_wait = ASK_BACKOFF_US
@@ -807,7 +803,6 @@
         if now_us >= buckets.next_refill:
             buckets.refill(now_us)
             self._share_out()
-            self._give_rest(now_us)
         bucket = buckets.find(tenant or "")
         new = self.calls[call] = Call(call, self.classes[grade], now_us, now_us + expires_in_us, bucket)
         bucket.heard = now_us
@@ -881,12 +876,11 @@
     def _copy(self, now: int, call: Call) -> None:
         """Send a second copy: answers an endpoint that pauses or hangs under a call that is safe to repeat.
 
-        Acts only while nothing is scarce: no stress, nobody held, no endpoint at rest, room under the cap,
-        retries left.
+        Acts only while nothing is scarce: no stress, nobody held, room under the cap, retries left.
         """
         if call.answered or len(call.attempts) != 1 or not call.outstanding or call.grade.max_attempts == 1:
             return
-        if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0 or now < self.rest_ends:
+        if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0:
             return
         if self._try_send(now, call):
             self.retries.spend()
@@ -1002,36 +996,16 @@
         Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
         so each copy sends it that part of what its warm endpoints get, and so do all copies together.
         """
-        return warmth * self._returned(now, e) * e.rest.part(now)
-
-    def _give_rest(self, now: int) -> None:
-        """Spare the endpoints that have tipped over; what they still hold is not held against the others."""
-        begun = False
-        for placement in self.placements:
-            members = [e for pool in placement.pools for e in pool.subset.members]
-            tipped = due(now, [e.rest for e in members])
-            for e in [e for e in members if e.rest in tipped and e.pull.crowded()]:
-                slower = e.rest.pace
-                e.rest.begin(now)
-                self.rest_ends = e.rest.until
-                placement.local.counted_at = placement.remote.counted_at = 0
-                begun = True
-                self.actions.write_log(f"endpoint {e.id} rests: its calls take {slower:.1f} times the usual")
-        if begun:
-            self._recount()
+        return warmth * self._returned(now, e)
 
     def _recount(self) -> None:
-        """Count calls in flight anew: the cap is not on those at endpoints that have left or rest."""
+        """Count calls in flight anew: the cap is not on those at endpoints that have left."""
         for placement in self.placements:
             placement.local.limit.in_flight = placement.remote.limit.in_flight = 0
         for call in self.calls.values():
             for n in call.outstanding:
-                e, sent, pool, _ = call.attempts[n]
-                pool.limit.in_flight += e.ready and sent >= e.rest.since
-
-    def _shows_pace(self, sent: int, e: EndpointState) -> bool:
-        """Guards against rest for endpoints that are slow because they were cold, or still held much."""
-        return sent >= e.rest.since and self._warmth(sent, e) == 1.0
+                e, _, pool, _ = call.attempts[n]
+                pool.limit.in_flight += e.ready
 
     def _returned(self, now: int, e: EndpointState) -> float:
         """The part of its calls that an endpoint may have while it is ejected, and after."""
@@ -1043,7 +1017,7 @@
     def _count_in_use(self, now: int, pool: Pool) -> None:
         """Read now and then which part of a pool's endpoints is in use, and which is surely there.
 
-        Covers ejection, slow start and rest. Could hurt where sound endpoints are ejected while the rest have
+        Covers ejection and slow start. Could hurt where sound endpoints are ejected while the rest have
         capacity to spare. What spoilt answers ejected is out of use, yet it is there.
         """
         if now < pool.counted_at + COUNT_EVERY_US:
@@ -1051,7 +1025,7 @@
         pool.counted_at = now
         open_ = warm = 0.0
         for e in pool.subset.members:
-            part = self._warmth(now, e) * e.rest.part(now)
+            part = self._warmth(now, e)
             returned = self._returned(now, e)
             open_ += part * returned
             warm += part * (returned if e.unreachable else 1.0)
@@ -1131,15 +1105,14 @@
         found.outstanding.discard(attempt)
         e, sent, pool, step = found.attempts[attempt]
         e.in_flight -= 1
-        if load is not None and load.busy is not None:
+        if load is not None:
             # Danger: what is cold reports idle cores since it gets less; its part would climb.
             warm = self._warmth(now_us, e) == 1.0
-            if e.pull.hear(load.busy, pool.limit.busy if warm else None) and self._shows_pace(sent, e):
-                e.rest.learn(e.pull.pace(load.service_ms))
+            e.pull.hear(load.busy, pool.limit.busy if warm else None)
         if not e.ready and not e.in_flight and self.endpoints.get(e.id) is e:
             del self.endpoints[e.id]
         e.used = now_us
-        if e.ready and sent >= e.rest.since:
+        if e.ready:
             pool.limit.in_flight -= 1
         if step >= 0 and outcome not in NEVER_RAN:
             silent = outcome in UNANSWERED
@@ -1188,11 +1161,8 @@
             self.fleet_latency += FLEET_WEIGHT * (share - self.fleet_latency)
             relative = min(max(share / self.fleet_latency, 1 / SLOW_RANGE), SLOW_RANGE)
             e.slow = e.slow + SLOW_WEIGHT * (relative - e.slow) if e.slow else 0.5 + 0.5 * relative
-            if e.pull.busy is None and pool.limit.base and self._shows_pace(sent, e):
-                e.rest.learn(share / pool.limit.base)
         # Guards against one slow endpoint that gets tiers shed while its peers sit idle.
-        outlier = (e.slow > OUTLIER and share > self.fleet_latency) or sent < e.rest.since
-        if not outlier:
+        if e.slow <= OUTLIER or share <= self.fleet_latency:
             if ok or outcome is Outcome.TIMEOUT:
                 self.ratio.record(now, share)
             if ok or outcome is Outcome.TIMEOUT or (outcome is Outcome.FULL and not leaving):
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -43,10 +43,9 @@
 
 
 class Load(NamedTuple):
-    """What an endpoint says of itself in an answer; None: not told."""
+    """What an endpoint says of itself in an answer."""
 
-    busy: float | None = None  # share of its cores in use
-    service_ms: float | None = None  # recent service time, without waiting
+    busy: float  # share of its cores in use
 
 
 class Readiness(Enum):
--- a/eiderhub/reports.py
+++ b/eiderhub/reports.py
@@ -10,7 +10,6 @@
 from eiderhub.interface import Load
 
 BUSY = frozenset(("cpu_share", "util"))  # the simulator's name and the sockets' for one figure
-SERVICE_MS = frozenset(("svc_ms", "latency_ms"))
 MOST_CHARS = 256  # of a report; a longer one is noise
 MOST_FIGURE = 1e9  # above which a value says nothing
 
@@ -30,13 +29,9 @@
     """
     if len(text) > MOST_CHARS:
         return None
-    busy = service_ms = None
+    busy = None
     for pair in text.split(","):
         name, _, value = pair.strip().partition(between)
         if name in BUSY:
             busy = _figure(value)
-        elif name in SERVICE_MS:
-            service_ms = _figure(value)
-    if busy is None and service_ms is None:
-        return None
-    return Load(busy, service_ms)
+    return None if busy is None else Load(busy)
--- /dev/null
+++ b/tests/test_cap.py
@@ -0,0 +1,98 @@
+"""The cap on calls in flight goes with the endpoints that are in use."""
+
+from __future__ import annotations
+
+import pytest
+
+from eiderhub.balancer import START_CALLS
+from eiderhub.interface import ListForm, Outcome, Readiness
+from tests.support import MS, Host, S, endpoints, settings
+
+
+def play(host: Host, seconds: float, spent: int = 100 * MS) -> None:
+    """A steady load, each call answered after its time."""
+    out: list[tuple[int, str]] = []
+    end = host.now + int(seconds * S)
+    while host.now < end:
+        host.order()
+        host.advance(20 * MS)
+        for late in sorted(o for o in out if o[0] <= host.now):
+            out.remove(late)
+            host.reply(late[1], Outcome.OK, spent=spent)
+        out += [(host.now + spent, d[1]) for d in host.sends()]
+        host.did.clear()
+    for _, call in out:
+        host.reply(call, Outcome.OK, spent=spent)
+
+
+def fleet(count: int = 6) -> tuple[Host, list[str]]:
+    listed = endpoints(count)
+    host = Host(settings(), listed)
+    play(host, 12)
+    return host, [e.id for e in listed]
+
+
+def test_half_of_the_tier_gone_shrinks_the_cap_with_it() -> None:
+    """Calls learned for twelve endpoints are not laid on six, and what the dead hold does not fill the cap."""
+    host, ids = fleet(12)
+    limit = host.balancer.placements[0].local.limit
+    before = limit.cap
+    calls = [host.order() for _ in range(20)]
+    gone = [e._replace(readiness=Readiness.GONE) for e in endpoints(6)]
+    host.balancer.discovery(host.now, ListForm.DELTA, gone)
+    assert limit.cap == pytest.approx(before / 2, rel=0.01)
+    left = [d[2] for c in calls for d in host.sends(c) if d[2] in ids[6:]]
+    assert 0 < len(left) < 20
+    assert limit.in_flight == len(left)
+    for _ in range(3):  # held calls go out as others end
+        host.answer_all()
+    assert not host.balancer.calls
+    assert limit.in_flight == 0
+
+
+def test_cold_endpoints_open_only_their_part_of_the_cap() -> None:
+    host, _ = fleet(6)
+    limit = host.balancer.placements[0].local.limit
+    before = limit.each * limit.fair
+    host.balancer.discovery(host.now, ListForm.DELTA, endpoints(6, start=6, launched=host.now))
+    host.order()
+    assert limit.open == pytest.approx((6 + 6 * 0.2) / 12, rel=0.02)
+    assert before * 0.4 < limit.cap < before * 1.25
+
+
+@pytest.mark.parametrize(("outcome", "narrowed"), [(Outcome.CONNECT_FAILED, True), (Outcome.RESET, False)])
+def test_room_above_the_start_goes_with_endpoints_out_of_reach_not_with_spoilt_answers(
+    outcome: Outcome, narrowed: bool
+) -> None:
+    """Found on a day of spoilt answers: sound endpoints were ejected, and the cap of all the others closed."""
+    host, ids = fleet()
+    limit = host.balancer.placements[0].local.limit
+    limit.each = 2 * START_CALLS
+    state = host.balancer.endpoints[ids[0]]
+    for _ in range(200):
+        call = host.order()
+        if host.sent.get(call, [""])[-1] == ids[0]:
+            host.reply(call, outcome)
+        if state.ejected_until:
+            break
+        host.answer_all()
+        host.advance(20 * MS)
+    host.advance(100 * MS)
+    host.order()
+    assert limit.open == pytest.approx(5 / 6, abs=0.01)
+    each = limit.cap / limit.fair / limit.open
+    assert (each < 1.3 * START_CALLS) is narrowed
+    assert (each > 1.9 * START_CALLS) is not narrowed
+
+
+@pytest.mark.parametrize(("apart", "gone"), [(5 * MS, True), (300 * MS, False)])
+def test_resets_of_several_calls_at_once_tell_that_an_endpoint_is_gone(apart: int, gone: bool) -> None:
+    """Found on churn days: a process that ends resets what it holds; spoilt answers come one by one."""
+    host, ids = fleet()
+    for call in [host.order() for _ in range(12)]:
+        if host.sent.get(call, [""])[-1] == ids[0]:
+            host.advance(apart)
+            host.reply(call, Outcome.RESET)
+    state = host.balancer.endpoints[ids[0]]
+    assert state.failed_at
+    assert state.unreachable is gone
