--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -13,10 +13,12 @@
 from unittest.mock import Mock
 
 from eiderhub.interface import Effect, RequestClass, Settings, Tenant
+from eiderhub.protocols.http1.server import Incoming, Server
 from eiderhub.routing.compile import plan
 from eiderhub.routing.plan import Plan, plain
 from eiderhub.routing.table import Route, read_pattern
-from eiderhub.sidecar.server import Incoming, Server
+from eiderhub.sidecar.bounds import Budget
+from eiderhub.sidecar.callers import Callers
 
 ROUTES = 1000
 ROUNDS = 300
@@ -36,7 +38,7 @@
 def spent(server: Server, host: Any, chosen: Plan, asked: list[Incoming]) -> float:
     """Microseconds for one request."""
     host.plan = chosen
-    server.open_ids.clear()
+    server.callers.open_ids.clear()
     caller = Mock()
     begun = time.perf_counter()
     for incoming in asked:
@@ -46,7 +48,7 @@
 
 def main() -> None:
     host = Mock(settings=SETTINGS)
-    server = Server(host, 100)
+    server = Server(host, Callers(100, 3.0, Budget(1 << 20)))
     routes = [Route(f"r{i}", "look", read_pattern(f"/look/part-{i}/{{item}}")) for i in range(ROUTES)]
     plans = {"no routes": plain(SETTINGS), f"{ROUTES} routes": plan(SETTINGS, routes, {})}
     asked = requests()
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/protocols/http1/server.py
@@ -1,30 +1,26 @@
-"""Callers' connections: parsing, `/up`, answers, and who is closed when there are too many."""
+"""The server side of HTTP/1.1: reading requests, `/up`, and wording answers."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import select
-from typing import NamedTuple, cast
+from typing import NamedTuple
 
 import httptools
 
 from eiderhub.interface import Effect, RequestClass
+from eiderhub.protocols.http1.client import HOP_BY_HOP, Exchange, Response
 from eiderhub.routing.target import Asked, Refused, segments_of
+from eiderhub.sidecar.callers import Callers, CallerSocket
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Host, Request
-from eiderhub.sidecar.upstream import HOP_BY_HOP
+from eiderhub.sidecar.seam import Failure
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 HEADER_COST = 32  # bytes that each header counts beside its own: tiny ones fill the memory with objects
 MAX_WAITING = 4  # requests of one caller that wait for the answer before: callers send one at a time
 MAX_DEADLINE_MS = 3_600_000
-FIRST_S = 2.6  # from connecting to a first whole request: an error or a close is due within 3 s
-IDLE_S = 5.0  # between requests, so that callers that never come back do not add up
-SPARE_S = 2.0  # a connection idle for so long may be closed to make room for a new one
-CHECK_S = 0.1
-LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
 BUSY_WAIT = b"1"  # Retry-After where no memory is left
 REASONS = {  # of every status that is answered; `http` would bring sixty more, and their memory
@@ -51,6 +47,7 @@
         b"x-original-uri",
     )
 )  # fmt: skip
+FAILURES = {Failure.ERROR: 502, Failure.TIME: 504, Failure.BROKEN: 500}
 log = logging.getLogger(__name__)
 
 
@@ -73,22 +70,16 @@
     arrived_us: int
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(CallerSocket):
     """One caller's connection: requests are served one after another."""
 
     def __init__(self, server: Server) -> None:
+        super().__init__(server.callers)
         self.server = server
         self.current: Request | None = None
         self.request_id = b""
         self.waiting: list[Incoming] = []  # whole, but not yet admitted
         self.keep = True
-        self.known = False  # whether it ever made a valid request
-        self.receiving = False
-        self.since_us = now_us()  # when it connected, began what is coming in, fell idle, or ended
-        self.ended = False  # nothing that still comes is read
-        self.lost = False
-        self.stuck = False  # the caller does not read its answers
-        self.held = 0  # bytes of bodies, against the server's budget
         self.fault: Rejected | None = None
         self._body = bytearray()
         self._in_head = True
@@ -97,11 +88,6 @@
 
     # --- the socket ---
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
-        self.transport = cast(asyncio.Transport, transport)
-        self.server.joined(self)
-
     def data_received(self, data: bytes) -> None:
         if self.ended or self._parser is None:
             return
@@ -130,35 +116,21 @@
             self.server.host.gone(self.current)
         self._reject(fault)
 
-    def eof_received(self) -> bool:
-        return False  # a caller that closes has gone away, whatever it still could read
-
-    def pause_writing(self) -> None:
-        """Guards against answers that pile up unread: the next request waits until this one's has left."""
-        self.stuck = True
-        self._read(False)
-
-    def resume_writing(self) -> None:
-        self.stuck = False
-        asyncio.get_running_loop().call_soon(self._resume)
+    def late(self) -> None:
+        self.stop(Rejected(408, "the request did not come whole"))
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = self.lost = True
+    def left(self) -> None:
         self.waiting.clear()
         self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
-        self.server.left(self)
-        self._let_go()
         current, self.current = self.current, None
         if current is not None:
-            self.server.forget(self.request_id)
+            self._forget()
             self.server.host.gone(current)
 
     # --- the parser's calls ---
 
     def on_message_begin(self) -> None:
-        self.receiving = True
-        self.since_us = now_us() if self.known else self.since_us  # the first one counts from connecting
-        self.server.idle.pop(self, None)
+        self.began()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
@@ -192,7 +164,7 @@
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > MAX_BODY:
             self._fault(413, "the body is too long")
-        if not self.server.budget.take(len(body)):
+        if not self.callers.budget.take(len(body)):
             self._fault(503, "no memory is left")  # harmless: it was sent nowhere
         self.held += len(body)
         self._body += body
@@ -215,19 +187,15 @@
     # --- one request after another ---
 
     @property
-    def busy(self) -> bool:
-        return self.current is not None or self.receiving or bool(self.waiting)
+    def answering(self) -> bool:
+        return self.current is not None or bool(self.waiting)
 
     def _serve_next(self) -> None:
         """Serve what waits, once the read that brought it is parsed whole and nothing is in the way."""
         if self.waiting and self.current is None and not self.stuck and not self.lost:
             self._serve(self.waiting.pop(0))
         if self.waiting:
-            self._read(False)
-
-    def _read(self, on: bool) -> None:
-        if not self.transport.is_closing():
-            (self.transport.resume_reading if on else self.transport.pause_reading)()
+            self.read(False)
 
     def _serve(self, incoming: Incoming) -> None:
         self.keep = incoming.keep
@@ -241,8 +209,7 @@
             log.exception("a request could not be read")
             self.answer(500, [], b"")
             return
-        self.known = True
-        self.server.fresh.pop(self, None)
+        self.proved()
         if request is not None:
             self.current = request
             self.server.host.take(request)
@@ -254,15 +221,26 @@
         headers = [(b"Retry-After", BUSY_WAIT)] if fault.status == 503 else []
         self.answer(fault.status, headers, f"{fault}\n".encode())
 
+    # --- the one answer ---
+
+    def served(self, reply: Response) -> None:
+        self.answer(200, reply.headers, reply.body)
+
+    def refused(self, wait_us: int) -> None:
+        self.answer(503, [(b"Retry-After", b"%.3f" % (wait_us / 1e6))] if wait_us > 0 else [], b"")
+
+    def failed(self, why: Failure) -> None:
+        self.answer(FAILURES[why], [], b"")
+
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Write an answer; the connection closes after it where the caller, the input or our end asks so."""
         if self.current is not None:
             self.current = None
-            self.server.forget(self.request_id)
+            self._forget()
         if not self.waiting and not self.receiving:
-            self._let_go()
+            self.let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
-        keep = self.keep and (bool(self.waiting) or not self.server.leaving)
+        keep = self.keep and (bool(self.waiting) or not self.callers.leaving)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Other")), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
@@ -273,78 +251,37 @@
         else:
             self._finish()
 
-    def _let_go(self) -> None:
-        self.server.budget.give_back(self.held)
-        self.held = 0
+    def _forget(self) -> None:
+        self.callers.open_ids.discard(self.request_id)
 
     def _next(self) -> None:
         if self.waiting:
             # Later: the answer may have come from within a call that still works on the last request.
-            asyncio.get_running_loop().call_soon(self._resume)
+            asyncio.get_running_loop().call_soon(self.resume)
         elif not self.busy:
-            self.since_us = now_us()
-            self.server.idle[self] = None
+            self.rested()
 
-    def _resume(self) -> None:
+    def resume(self) -> None:
         self._serve_next()
         if not self.waiting and not self.stuck:
-            self._read(True)
+            self.read(True)
 
     def _finish(self) -> None:
-        """Close, but for bad input not before the caller has had time to read why.
-
-        A socket that is closed with unread input is reset, and the answer on its way would be lost.
-        """
         unread = self.ended or self.receiving
-        self.ended = True
         self.waiting.clear()
         self._body = bytearray()
-        self._let_go()
-        self.since_us = now_us()  # `check` counts from here: what was just written must have time to leave
-        if unread and self.transport.can_write_eof() and not self.transport.is_closing():
-            self.transport.write_eof()
-            self._read(True)
-        else:
-            self.transport.close()
-
-    def check(self, now: int) -> None:
-        """Close a caller that keeps its descriptor and asks for nothing."""
-        quiet_s = (now - self.since_us) / 1e6
-        if self.current is not None or self.waiting:
-            return
-        if self.ended:
-            if quiet_s > LINGER_S:
-                self.transport.abort()  # unlike `close` it does not wait for a caller that reads nothing
-        elif self.receiving:
-            # One that has asked before may write slowly, but no longer than any answer would be waited for.
-            if quiet_s > (self.server.longest_s if self.known else FIRST_S):
-                self.stop(Rejected(408, "the request did not come whole"))
-        elif quiet_s > (IDLE_S if self.known else FIRST_S) and (self.stuck or not self.unread()):
-            self.transport.abort()
-
-    def unread(self) -> bool:
-        """Whether input waits in the kernel: closing now would cross a request, and that would fail."""
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        self.let_go()
+        self.finish(unread)
 
 
 class Server:
-    """All callers' connections."""
+    """The HTTP/1.1 port."""
 
-    def __init__(self, host: Host, most: int) -> None:
+    def __init__(self, host: Host, callers: Callers) -> None:
         self.host = host
-        self.most = most  # connections that callers may have open
-        self.budget = host.budget
-        self.callers: dict[CallerConnection, None] = {}
-        self.fresh: dict[CallerConnection, None] = {}  # those that never made a valid request, oldest first
-        self.idle: dict[CallerConnection, None] = {}  # those between requests, the longest idle first
-        self.open_ids: set[bytes] = set()
-        self.longest_s = max(c.deadline_us for c in host.settings.classes) / 1e6
+        self.callers = callers
         self.tenants = {t.name.encode("utf-8", "surrogatepass"): t.name for t in host.settings.tenants}
         self.names = HeaderNames(frozenset())
-        self.draining = False  # no more callers are wanted
-        self.leaving = False  # nor those that are here
 
     async def bind(self, host: str, port: int) -> None:
         """Take the address; connections wait until the module has started."""
@@ -353,50 +290,6 @@
             lambda: CallerConnection(self), host, port, backlog=BACKLOG, start_serving=False
         )
 
-    def joined(self, caller: CallerConnection) -> None:
-        """Take a connection in. Past the bound one is closed, so that no call ever lacks a descriptor.
-
-        First one that never said anything of use, then the one idle longest, then one that is still writing
-        its first request; where all are at work, the new one, of which nothing has been read.
-        """
-        if len(self.callers) >= self.most:
-            victim = self._spare() or caller
-            self.left(victim)
-            victim.ended = True
-            victim.transport.abort()
-            if victim is caller:
-                return
-        self.callers[caller] = None
-        self.fresh[caller] = None
-
-    def _spare(self) -> CallerConnection | None:
-        for caller in self.fresh:
-            if not caller.receiving:
-                return caller
-        longest = next(iter(self.idle), None)
-        if longest is not None and now_us() - longest.since_us > SPARE_S * 1e6:
-            return longest
-        return next(iter(self.fresh), None)
-
-    def left(self, caller: CallerConnection) -> None:
-        for group in (self.callers, self.fresh, self.idle):
-            group.pop(caller, None)
-
-    def forget(self, request_id: bytes) -> None:
-        self.open_ids.discard(request_id)
-
-    async def watch_callers(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_S)
-            now = now_us()
-            for caller in list(self.callers):
-                caller.check(now)
-
-    def close_idle(self) -> None:
-        for caller in list(self.callers):
-            if not caller.busy and not caller.ended and not caller.unread():
-                caller.transport.close()
-
     # --- reading a request ---
 
     def admit(self, caller: CallerConnection, incoming: Incoming) -> Request | None:
@@ -428,7 +321,7 @@
     def _up(self, caller: CallerConnection, incoming: Incoming) -> None:
         if incoming.method != b"GET":
             raise Rejected(405, "GET only")
-        caller.answer(200 if self.host.ready and not self.draining else 503, [], b"")
+        caller.answer(200 if self.host.ready and not self.callers.draining else 503, [], b"")
 
     def _request(
         self,
@@ -452,10 +345,11 @@
         wait_us = deadline_ms * 1000
         # A route may be tighter than the client; a class's own time never cuts a client's.
         wait_us = min(wait_us, self.host.plan.tighter_us.get(grade.name, wait_us))
-        if request_id in self.open_ids:
+        open_ids = self.callers.open_ids
+        if request_id in open_ids:
             # Two answers would be owed under one id, and endpoints could not tell its attempts apart.
             raise Rejected(409, "req-id: this request is open")
-        self.open_ids.add(request_id)
+        open_ids.add(request_id)
         caller.request_id = request_id
         if grade.effect is not Effect.IDEMPOTENT:
             head.append(b"Content-Length: %d\r\n" % len(incoming.body))
@@ -465,8 +359,7 @@
             tenant,
             hint_us,
             incoming.arrived_us + wait_us,
-            b"".join(head),
-            incoming.body,
+            Exchange(b"".join(head), incoming.body),
         )
 
 
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -12,10 +12,11 @@
 
 import uvloop
 
+from eiderhub.protocols.http1.server import Server
+from eiderhub.sidecar.callers import Callers
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load
 from eiderhub.sidecar.host import Host
-from eiderhub.sidecar.server import Server
 
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
@@ -58,25 +59,25 @@
             worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
 
 
-async def drain(server: Server, host: Host) -> None:
+async def drain(server: Server, callers: Callers, host: Host) -> None:
     """Answer all that was taken, in time for SIGKILL, while new callers are sent elsewhere.
 
     Callers use the connections that they have for as long as these stay open, so those are served on for a
     while. Closing them at once would send a whole sidecar's load to its neighbours in one moment, and to
     nobody where the neighbour is about to come back from a restart of its own.
     """
-    end = min(LONGEST_S, server.longest_s) + AFTER_LONGEST_S
+    end = min(LONGEST_S, callers.longest_s) + AFTER_LONGEST_S
     begun_us = now_us()
-    server.draining = True
+    callers.draining = True
     await asyncio.sleep(ACCEPT_S)
     server.listener.close()
     await asyncio.sleep(SERVE_SHARE * end - ACCEPT_S)
-    server.leaving = True
-    while server.callers and now_us() < begun_us + int(end * 1e6):
-        server.close_idle()
+    callers.leaving = True
+    while callers and now_us() < begun_us + int(end * 1e6):
+        callers.close_idle()
         await asyncio.sleep(0.01)
     host.fail_all()
-    server.close_idle()
+    callers.close_idle()
     await asyncio.sleep(FLUSH_S)
 
 
@@ -130,10 +131,11 @@
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
     loop.add_signal_handler(signal.SIGHUP, Reloader(host, config, operator).ask)
-    server = Server(host, config.bounds.callers)
+    callers = Callers(config.bounds.callers, host.longest_s, host.budget)
+    server = Server(host, callers)
     await server.bind(config.listen.host, config.listen.port)
     host.start()
-    chores = (host.upstream.sweep(), server.watch_callers(), watch_lag())
+    chores = (host.upstream.sweep(), callers.watch(), watch_lag())
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
     gc.collect()
@@ -143,7 +145,7 @@
     port = server.listener.sockets[0].getsockname()[1]  # the one that was taken, where the file asks for any
     log.info("%s serves on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
-    await drain(server, host)
+    await drain(server, callers, host)
     for task in background:
         task.cancel()
 
--- /dev/null
+++ b/eiderhub/sidecar/callers.py
@@ -0,0 +1,195 @@
+"""Callers' connections of all protocols: their bound, and who is closed when there are too many or one is idle."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from typing import cast
+
+from eiderhub.sidecar.bounds import Budget
+from eiderhub.sidecar.clock import now_us
+
+FIRST_S = 2.6  # from connecting to a first whole request: an error or a close is due within 3 s
+IDLE_S = 5.0  # between requests, so that callers that never come back do not add up
+SPARE_S = 2.0  # a connection idle for so long may be closed to make room for a new one
+CHECK_S = 0.1
+LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
+
+
+class CallerSocket(asyncio.Protocol):
+    """One caller's connection: what a socket is to all protocols. What comes on it, each protocol reads itself."""
+
+    def __init__(self, callers: Callers) -> None:
+        self.callers = callers
+        self.known = False  # whether it ever made a valid request
+        self.receiving = False
+        self.since_us = now_us()  # when it connected, began what is coming in, fell idle, or ended
+        self.ended = False  # nothing that still comes is read
+        self.lost = False
+        self.stuck = False  # the caller does not read its answers
+        self.held = 0  # bytes of bodies, against the budget
+
+    # --- what each protocol says of itself ---
+
+    @property
+    def answering(self) -> bool:
+        """Whether an answer is owed."""
+        raise NotImplementedError
+
+    def late(self) -> None:
+        """What is coming in has not come whole in time."""
+        raise NotImplementedError
+
+    def left(self) -> None:
+        """The connection has ended: whatever was asked on it is over."""
+        raise NotImplementedError
+
+    def resume(self) -> None:
+        """Answers leave again: go on with what waits."""
+        raise NotImplementedError
+
+    # --- the socket ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
+        self.callers.joined(self)
+
+    def eof_received(self) -> bool:
+        return False  # a caller that closes has gone away, whatever it still could read
+
+    def pause_writing(self) -> None:
+        """Guards against answers that pile up unread: nothing more is read until they have left."""
+        self.stuck = True
+        self.read(False)
+
+    def resume_writing(self) -> None:
+        self.stuck = False
+        asyncio.get_running_loop().call_soon(self.resume)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = self.lost = True
+        self.callers.left(self)
+        self.let_go()
+        self.left()
+
+    def read(self, on: bool) -> None:
+        if not self.transport.is_closing():
+            (self.transport.resume_reading if on else self.transport.pause_reading)()
+
+    def let_go(self) -> None:
+        self.callers.budget.give_back(self.held)
+        self.held = 0
+
+    @property
+    def busy(self) -> bool:
+        return self.answering or self.receiving
+
+    def began(self) -> None:
+        """A request comes in; the first one counts from connecting."""
+        self.receiving = True
+        self.since_us = now_us() if self.known else self.since_us
+        self.callers.idle.pop(self, None)
+
+    def proved(self) -> None:
+        """It has made a valid request."""
+        self.known = True
+        self.callers.fresh.pop(self, None)
+
+    def rested(self) -> None:
+        """It is between requests."""
+        self.since_us = now_us()
+        self.callers.idle[self] = None
+
+    def finish(self, unread: bool) -> None:
+        """Close; where input may be unread, not before the caller has had time to read why.
+
+        A socket that is closed with unread input is reset, and the answer on its way would be lost.
+        """
+        self.ended = True
+        self.since_us = now_us()  # `check` counts from here: what was just written must have time to leave
+        if unread and self.transport.can_write_eof() and not self.transport.is_closing():
+            self.transport.write_eof()
+            self.read(True)
+        else:
+            self.transport.close()
+
+    def check(self, now: int) -> None:
+        """Close a caller that keeps its descriptor and asks for nothing."""
+        quiet_s = (now - self.since_us) / 1e6
+        if self.answering:
+            return
+        if self.ended:
+            if quiet_s > LINGER_S:
+                self.transport.abort()  # unlike `close` it does not wait for a caller that reads nothing
+        elif self.receiving:
+            # One that has asked before may write slowly, but no longer than any answer would be waited for.
+            if quiet_s > (self.callers.longest_s if self.known else FIRST_S):
+                self.late()
+        elif quiet_s > (IDLE_S if self.known else FIRST_S) and (self.stuck or not self.unread()):
+            self.transport.abort()
+
+    def unread(self) -> bool:
+        """Whether input waits in the kernel: closing now would cross a request, and that would fail."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class Callers:
+    """All callers' connections, on whichever port they came."""
+
+    def __init__(self, most: int, longest_s: float, budget: Budget) -> None:
+        self.most = most  # connections that callers may have open
+        self.longest_s = longest_s  # the longest that any answer is waited for
+        self.budget = budget
+        self.all: dict[CallerSocket, None] = {}
+        self.fresh: dict[CallerSocket, None] = {}  # those that never made a valid request, oldest first
+        self.idle: dict[CallerSocket, None] = {}  # those between requests, the longest idle first
+        self.open_ids: set[bytes] = set()  # of the requests that have no answer yet
+        self.draining = False  # no more callers are wanted
+        self.leaving = False  # nor those that are here
+
+    def __len__(self) -> int:
+        return len(self.all)
+
+    def joined(self, caller: CallerSocket) -> None:
+        """Take a connection in. Past the bound one is closed, so that no call ever lacks a descriptor.
+
+        First one that never said anything of use, then the one idle longest, then one that is still writing
+        its first request; where all are at work, the new one, of which nothing has been read.
+        """
+        if len(self.all) >= self.most:
+            victim = self._spare() or caller
+            self.left(victim)
+            victim.ended = True
+            victim.transport.abort()
+            if victim is caller:
+                return
+        self.all[caller] = None
+        self.fresh[caller] = None
+
+    def _spare(self) -> CallerSocket | None:
+        for caller in self.fresh:
+            if not caller.receiving:
+                return caller
+        longest = next(iter(self.idle), None)
+        if longest is not None and now_us() - longest.since_us > SPARE_S * 1e6:
+            return longest
+        return next(iter(self.fresh), None)
+
+    def left(self, caller: CallerSocket) -> None:
+        for group in (self.all, self.fresh, self.idle):
+            group.pop(caller, None)
+
+    async def watch(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_S)
+            now = now_us()
+            for caller in list(self.all):
+                caller.check(now)
+
+    def close_idle(self) -> None:
+        for caller in list(self.all):
+            if not caller.busy and not caller.ended and not caller.unread():
+                caller.transport.close()
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -10,9 +10,9 @@
 from typing import Any, NamedTuple
 
 from eiderhub.interface import Endpoint, ListForm, Readiness
+from eiderhub.protocols.http1.client import Connection, Response
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import UNIX_OFFSET_US
-from eiderhub.sidecar.upstream import Connection, Response
 
 MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
 WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
@@ -158,10 +158,10 @@
             self._connection.close()
             self._connection = None
 
-    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
+    def on_response(self, link: Connection, attempt: object, response: Response, reusable: bool) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(response)
 
-    def on_lost(self, connection: Connection) -> None:
+    def on_lost(self, link: Connection) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(ConnectionResetError("the connection ended"))
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -10,7 +10,7 @@
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
@@ -19,23 +19,18 @@
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
-from eiderhub.sidecar.upstream import Attempt, Response, Upstream, reported
+from eiderhub.sidecar.seam import Caller, Failure, Payload, Reply
+from eiderhub.sidecar.upstream import Attempt, Upstream
 
 log = logging.getLogger(__name__)
 
 
-class Caller(Protocol):
-    """Who asked: takes the one final answer."""
-
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
-
-
 class Request:
     """One request that was taken, and its attempts."""
 
     __slots__ = (
-        "alarm", "answered", "attempts", "body", "call", "caller", "deadline_us", "due_us", "grade", "head",
-        "hint_us", "out", "tenant",
+        "alarm", "answered", "attempts", "call", "caller", "deadline_us", "due_us", "grade", "hint_us", "out",
+        "payload", "tenant",
     )  # fmt: skip
 
     def __init__(
@@ -45,8 +40,7 @@
         tenant: str | None,
         hint_us: int | None,
         deadline_us: int,
-        head: bytes,
-        body: bytes,
+        payload: Payload,
     ) -> None:
         self.caller = caller
         self.grade = grade
@@ -54,8 +48,7 @@
         self.hint_us = hint_us
         self.deadline_us = deadline_us  # when the client gives up
         self.due_us = deadline_us - ANSWER_MARGIN_US  # when the answer leaves at the latest
-        self.head = head  # request line and headers for endpoints, but for the time that is left
-        self.body = body
+        self.payload = payload  # what goes on to endpoints
         self.call = ""
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts that have not ended
@@ -70,6 +63,7 @@
         self.plan = config.plan or plain(config.settings)
         settings = self.plan.settings
         self.settings = settings
+        self.longest_s = max(c.deadline_us for c in settings.classes) / 1e6
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.listed = False  # whether any list has named endpoints
@@ -143,7 +137,7 @@
         request.alarm = Alarm(request.due_us, partial(self._out_of_time, request))
         left = request.deadline_us - now_us()
         if not self._tell(self.balancer.order, call, request.grade, request.tenant, left, request.hint_us):
-            self._abandon(request, 500)
+            self._abandon(request, Failure.BROKEN)
 
     def gone(self, request: Request) -> None:
         """The client has closed its connection: nothing more is sent for it."""
@@ -165,29 +159,29 @@
             request.alarm.cancel()
             request.alarm = None  # it points back at the request
 
-    def _answer(self, request: Request, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        """The one final answer: whatever would be a second one is dropped here."""
+    def _closes(self, request: Request) -> bool:
+        """Whether the one final answer is due now: whatever would be a second one is dropped."""
         if request.answered:
-            return
+            return False
         self._close(request)
-        request.caller.answer(status, headers, body)
+        return True
 
-    def _abandon(self, request: Request, status: int) -> None:
+    def _abandon(self, request: Request, why: Failure) -> None:
         """Answer in place of the module, and tell it that the request is over."""
-        if not request.answered:
-            self._answer(request, status, [], b"")
+        if self._closes(request):
+            request.caller.failed(why)
             self._tell(self.balancer.expired, request.call)
 
     def _out_of_time(self, request: Request) -> None:
         """Attempts end by time, and so does what the module holds: an answer is due now, not later."""
         for attempt in list(request.attempts):
             attempt.drop(Outcome.TIMEOUT)
-        self._abandon(request, 504)
+        self._abandon(request, Failure.TIME)
 
     def fail_all(self) -> None:
         """The process ends: what is still open is answered now."""
         for request in list(self.requests.values()):
-            self._abandon(request, 504)
+            self._abandon(request, Failure.TIME)
 
     # --- attempts ---
 
@@ -196,12 +190,12 @@
         left_ms = (until_us - now) // 1000
         if request.answered or left_ms < 1:
             return None
-        return b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (request.head, left_ms, request.body)
+        return request.payload.data(left_ms)
 
-    def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
+    def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
         request.out -= 1
-        if outcome is Outcome.OK and response is not None:
-            self._answer(request, 200, response.headers, response.body)
+        if outcome is Outcome.OK and reply is not None and self._closes(request):
+            request.caller.served(reply)
         if request.answered and not request.out:
             self._discard(request)
         spent = now_us() - attempt.sent_us
@@ -213,10 +207,10 @@
             spent,
             request.answered,
             outcome,
-            reported(response) if response is not None else None,
+            reply.load() if reply is not None else None,
         )
         if not told and not request.out:
-            self._abandon(request, 500)
+            self._abandon(request, Failure.BROKEN)
 
     # --- the module's actions ---
 
@@ -231,6 +225,7 @@
         attempt = Attempt(
             len(request.attempts),
             endpoint,
+            request.payload.wire,
             partial(self._data, request, until),
             partial(self._ended, request),
         )
@@ -251,14 +246,13 @@
 
     def shed(self, call: str, wait_us: int) -> None:
         request = self.requests.get(call)
-        if request is not None:
-            headers = [(b"Retry-After", b"%.3f" % (wait_us / 1e6))] if wait_us > 0 else []
-            self._answer(request, 503, headers, b"")
+        if request is not None and self._closes(request):
+            request.caller.refused(wait_us)
 
     def surrender(self, call: str) -> None:
         request = self.requests.get(call)
-        if request is not None:
-            self._answer(request, 504 if now_us() >= request.due_us else 502, [], b"")
+        if request is not None and self._closes(request):
+            request.caller.failed(Failure.TIME if now_us() >= request.due_us else Failure.ERROR)
 
     def timer(self, delay_us: int, mark: str) -> None:
         Alarm(now_us() + delay_us, partial(self._tell, self.balancer.wake, mark))
--- /dev/null
+++ b/eiderhub/sidecar/seam.py
@@ -0,0 +1,167 @@
+"""What a protocol brings to the host, in the host's terms: who asked, what is asked, and connections to endpoints.
+
+The host, the pools, the bounds and the drains are shared and know no protocol by name. A protocol's server side makes
+`Request`s and words the one answer; its client side makes `Link`s, on which attempts go out and end with one outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+from eiderhub.interface import Load, Outcome
+
+if TYPE_CHECKING:
+    from eiderhub.sidecar.bounds import Budget
+    from eiderhub.sidecar.upstream import Attempt
+
+
+class Failure(Enum):
+    """Why a request that was taken has no answer of an endpoint, where no promise is made of what has run."""
+
+    ERROR = "error"  # an endpoint failed, or what became of it can't be known
+    TIME = "time"  # its time is up
+    BROKEN = "broken"  # the sidecar itself failed
+
+
+class Reply(Protocol):
+    """A whole answer of an endpoint, as its protocol keeps it."""
+
+    def load(self) -> Load | None:
+        """What the endpoint says of its load."""
+
+
+class Caller(Protocol):
+    """Who asked: takes the one final answer, by one of these, and words it in its protocol."""
+
+    def served(self, reply: Any) -> None: ...
+
+    def refused(self, wait_us: int) -> None:
+        """Trying again does no harm, after so long; 0 where nothing is known of when."""
+
+    def failed(self, why: Failure) -> None: ...
+
+
+class Payload(Protocol):
+    """What is asked, as it goes out: made by the server side, written by the client side of one protocol."""
+
+    @property
+    def wire(self) -> Wire:
+        """How it is spoken: the attempt goes out on a link of this wire."""
+
+    def data(self, left_ms: int) -> bytes:
+        """The bytes of one attempt, which may take so long. May be made anew, and differ, for each."""
+
+
+class Wire(Protocol):
+    """The client side of a protocol. One object for each way to speak to an endpoint, so that pools tell them apart."""
+
+    def link(self, owner: Owner, budget: Budget) -> Link: ...
+
+
+class Owner(Protocol):
+    """Who opened a link, and is told what comes of it."""
+
+    def on_response(self, link: Any, attempt: Attempt | None, reply: Any, reusable: bool) -> None: ...
+
+    def on_lost(self, link: Any) -> None: ...
+
+
+class Link(asyncio.Protocol):
+    """One connection that we opened. What a socket is to all protocols stands here; what comes on it in theirs.
+
+    A link carries as many attempts at a time as `room` says; the pools put no more on it.
+    """
+
+    wire: Wire  # the one that made it
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.attempt: Attempt | None = None
+        self.busy = False
+        self.written = False  # whether the last byte of what was sent has left for the kernel
+        self.lost = False
+        self.idle_since = 0
+        self.heard_us = 0  # when the last bytes of an answer that is not whole came; 0: none has begun
+
+    # --- what the pools ask ---
+
+    @property
+    def room(self) -> int:
+        """How many more attempts it may carry."""
+        return 0 if self.busy or self.lost else 1
+
+    def begin(self, attempt: Attempt, data: bytes) -> None:
+        """Send an attempt."""
+        self.attempt = attempt
+        self.send(data)
+
+    def outcome(self, reply: Any) -> Outcome:
+        """What a whole answer means to the attempt that it ends."""
+        raise NotImplementedError
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Nobody waits for this attempt any more: closing keeps its late answer from any other request."""
+        self.attempt = None
+        self.owner.on_lost(self)
+        self.close()
+
+    def lose(self) -> list[tuple[Attempt, Outcome]]:
+        """The attempts that end with the connection, and how. Not wholly written: the endpoint begins with the last
+        byte, so it never ran."""
+        attempt, self.attempt = self.attempt, None
+        if attempt is None:
+            return []
+        return [(attempt, Outcome.RESET if self.written else Outcome.CONNECT_FAILED)]
+
+    # --- the socket ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
+        # With no buffer allowed, `pause_writing` tells that the kernel has not taken all of a request yet.
+        self.transport.set_write_buffer_limits(high=0)
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def stale(self) -> bool:
+        """Whether an idle connection has anything to read: its end, or what nobody asked for.
+
+        Guards against writing an unsafe request to a connection whose end the loop has not come to yet.
+        """
+        return self.lost or bool(self._poll.poll(0))
+
+    def send(self, data: bytes) -> None:
+        self.busy = self.written = True
+        self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        self.written = False
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def close(self) -> None:
+        """Give up what is out: whatever still comes on this connection reaches nobody."""
+        if not self.lost:
+            self.lost = True
+            self.transport.abort()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.let_go()
+        if not self.lost:
+            self.lost = True
+            self.owner.on_lost(self)
+
+    def let_go(self) -> None:
+        """The connection has ended: give back what is held, and undo what would be a cycle."""
+
+    def fail(self) -> None:
+        """End what is out, and the connection, for what came or did not come on it."""
+        self.close()
+        self.owner.on_lost(self)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -7,245 +7,62 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
-from typing import NamedTuple, Protocol, cast
+from typing import Any
 
-import httptools
-
-from eiderhub.interface import Load, Outcome
-from eiderhub.reports import read_load
+from eiderhub.interface import Outcome
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import Alarm, now_us
+from eiderhub.sidecar.seam import Link, Reply, Wire
 
 IDLE_SHARE = 0.85  # of the time after which endpoints close idle connections, how long we keep them
 IDLE_US = 5_000_000  # that time, where it is not told
 SWEEP_S = 0.25  # how often idle connections, and answers that have begun, are looked at
-MAX_BODY = 64 * 1024  # bytes: more than the protocol allows is no answer
-MAX_HEAD = 16 * 1024  # bytes of a head, with all interim answers before it
 STALL_US = 1_000_000  # an answer that has begun is written in one go: one that stops for so long never ends
 
-# Headers that belong to one connection, and not to the message: RFC 9110, 7.6.1.
-HOP_BY_HOP = frozenset(
-    (
-        b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-        b"upgrade", b"content-length", b"expect",
-    )
-)  # fmt: skip
-
-
-class Response(NamedTuple):
-    """A whole answer."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-
-
-class Owner(Protocol):
-    """Who opened a connection, and is told what comes of it."""
-
-    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None: ...
-
-    def on_lost(self, connection: Connection) -> None: ...
-
-
-class Connection(asyncio.Protocol):
-    """One HTTP/1.1 connection that we opened; it carries one exchange at a time.
-
-    What comes from an endpoint is believed only as far as it is one whole answer with one stated length. All
-    else ends the exchange at once, and the connection with it: nobody can tell what its next bytes belong to.
-    """
-
-    def __init__(self, owner: Owner, budget: Budget, max_body: int = MAX_BODY) -> None:
-        self.owner = owner
-        self.budget = budget
-        self.max_body = max_body
-        self.attempt: Attempt | None = None
-        self.busy = False
-        self.written = False  # whether the last byte of the request has left for the kernel
-        self.lost = False
-        self.idle_since = 0
-        self.heard_us = 0  # when the last bytes of an answer that is not whole came; 0: none has begun
-        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self._body = bytearray()
-        self._reset()
-
-    def _reset(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
-        self.budget.give_back(len(self._body))
-        self._body = bytearray()
-        self._in_head = True
-        self._head_size = 0
-        self._keep = False
-        self._response: Response | None = None
-        self.heard_us = 0
-
-    # --- the socket ---
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
-        self.transport = cast(asyncio.Transport, transport)
-        # With no buffer allowed, `pause_writing` tells that the kernel has not taken all of a request yet.
-        self.transport.set_write_buffer_limits(high=0)
-        self._poll = select.poll()
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-
-    def stale(self) -> bool:
-        """Whether an idle connection has anything to read: its end, or what nobody asked for.
-
-        Guards against writing an unsafe request to a connection whose end the loop has not come to yet.
-        """
-        return self.lost or bool(self._poll.poll(0))
-
-    def send(self, data: bytes) -> None:
-        self.busy = self.written = True
-        self.transport.write(data)
-
-    def pause_writing(self) -> None:
-        self.written = False
-
-    def resume_writing(self) -> None:
-        self.written = True
-
-    def close(self) -> None:
-        """Give up the exchange: whatever still comes on this connection reaches nobody."""
-        if not self.lost:
-            self.lost = True
-            self.transport.abort()
-
-    def eof_received(self) -> bool:
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
-        self._reset()
-        if not self.lost:
-            self.lost = True
-            self.owner.on_lost(self)
-
-    def data_received(self, data: bytes) -> None:
-        if self.lost or self._parser is None:
-            return
-        if not self.busy:  # nobody asked
-            self.fail()
-            return
-        in_head = self._in_head
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            # Behind a whole answer there may be more than belongs to it, a second copy or noise: the answer
-            # stands, for its one stated length has come, and the connection is of no further use.
-            if self._response is None:
-                self.fail()
-                return
-            self._keep = False
-        if self._response is not None:
-            self._complete(self._response)
-            return
-        self.heard_us = now_us()
-        # Guards against a head that never ends, or interim answers without end.
-        self._head_size += len(data) if in_head else 0
-        if in_head and self._in_head and self._head_size > MAX_HEAD:
-            self.fail()
-
-    def fail(self) -> None:
-        """End the exchange, and the connection, for what came or did not come on it."""
-        self.close()
-        self.owner.on_lost(self)
-
-    def _complete(self, response: Response) -> None:
-        reusable = self._keep and self.written
-        self.busy = False
-        self._reset()
-        if not reusable:
-            self.close()
-        self.owner.on_response(self, response, reusable)
-
-    # --- the parser's calls ---
-
-    def on_message_begin(self) -> None:
-        if self._response is not None:
-            raise ValueError("a second answer to one request")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._in_head:  # what comes behind a chunked body is no part of the head
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        if self._parser is None or self._parser.get_status_code() < 200:
-            return
-        self._in_head = False
-        length = -1
-        for name, value in self._headers:
-            key = name.lower()
-            if key == b"content-length":
-                length = int(value)  # digits, and given once: the parser has seen to that
-            elif key == b"transfer-encoding" and value.lower() == b"chunked":
-                length = 0
-        # With no length the end of the connection would end the answer: a cut would look whole.
-        if length < 0 or length > self.max_body:
-            raise ValueError("no length, or too long")
-
-    def on_body(self, body: bytes) -> None:
-        if len(self._body) + len(body) > self.max_body or not self.budget.take(len(body)):
-            raise ValueError("the body is too long")
-        self._body += body
-
-    def on_message_complete(self) -> None:
-        parser = self._parser
-        if parser is None:
-            return
-        if parser.get_status_code() < 200:  # an interim answer
-            self._headers = []
-            return
-        # Only here does the parser know: once it has left this message, it speaks for the next.
-        self._keep = parser.should_keep_alive()
-        self._response = Response(parser.get_status_code(), self._headers, bytes(self._body))
-
 
 class Attempt:
     """One try of a request at one endpoint. It ends once; `on_end` is told how."""
 
-    __slots__ = ("alarm", "connection", "data", "endpoint", "number", "on_end", "over", "sent_us")
+    __slots__ = ("alarm", "connection", "data", "endpoint", "number", "on_end", "over", "sent_us", "wire")
 
     def __init__(
         self,
         number: int,
         endpoint: str,
+        wire: Wire,
         data: Callable[[int], bytes | None],
-        on_end: Callable[[Attempt, Outcome, Response | None], None],
+        on_end: Callable[[Attempt, Outcome, Any], None],
     ) -> None:
         self.number = number
         self.endpoint = endpoint
+        self.wire = wire
         self.data = data  # the bytes to send, made as they go out, or None where the time is up
         self.on_end = on_end
         self.sent_us = now_us()
-        self.connection: Connection | None = None
+        self.connection: Link | None = None
         self.alarm: Alarm | None = None
         self.over = False
 
-    def end(self, outcome: Outcome, response: Response | None = None) -> None:
+    def end(self, outcome: Outcome, reply: Reply | None = None) -> None:
         if self.over:
             return
         self.over = True
         if self.alarm is not None:
             self.alarm.cancel()
             self.alarm = None  # it points back here
-        self.on_end(self, outcome, response)
+        self.on_end(self, outcome, reply)
 
     def drop(self, outcome: Outcome) -> None:
-        """Stop waiting: closing the connection keeps the late answer from any other request."""
+        """Stop waiting: the late answer must reach no other request."""
         connection, self.connection = self.connection, None
         if connection is not None:
-            connection.attempt = None
-            connection.owner.on_lost(connection)
-            connection.close()
+            connection.abandon(self)
         self.end(outcome)
 
 
 class Pool:
-    """The connections to one endpoint."""
+    """The connections to one endpoint, each of the wire that its attempts speak."""
 
     def __init__(self, upstream: Upstream, host: str, port: int, launched_us: int) -> None:
         self.upstream = upstream
@@ -253,15 +70,23 @@
         self.port = port
         self.launched_us = launched_us
         self.ready = True
-        self.idle: list[Connection] = []  # the most recently used last
+        self.idle: list[Link] = []  # nothing is out on them; the most recently used last
+        self.shared: list[Link] = []  # at work, with room for more
 
-    def take(self) -> Connection | None:
+    def take(self, wire: Wire) -> Link | None:
         """The connection used most recently, so that the others can age and go."""
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection.stale():
-                return connection
-            connection.close()
+        for link in self.shared:
+            if link.wire is wire and link.room > 0:
+                return link
+        idle = self.idle
+        for at in range(len(idle) - 1, -1, -1):
+            link = idle[at]
+            if link.wire is not wire:
+                continue
+            del idle[at]
+            if not link.stale():
+                return link
+            link.close()
             self.upstream.open -= 1
         return None
 
@@ -270,58 +95,49 @@
             self.idle.pop(0).close()
             self.upstream.open -= 1
 
+    def write(self, attempt: Attempt, link: Link, data: bytes) -> None:
+        attempt.connection = link
+        self.upstream.active[link] = None
+        link.begin(attempt, data)
+        if link.room > 0 and link not in self.shared:
+            self.shared.append(link)
+
     # --- what its connections tell ---
 
-    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
-        attempt, connection.attempt = connection.attempt, None
-        self.upstream.active.pop(connection, None)
-        if reusable:
-            self.rest(connection)
-        else:
+    def on_response(self, link: Link, attempt: Attempt | None, reply: Reply, reusable: bool) -> None:
+        if not reusable:
+            self._forget(link)
             self.upstream.open -= 1
+        elif not link.busy:
+            self._forget(link)
+            self.rest(link)
         if attempt is not None:
             attempt.connection = None
-            attempt.end(classify(response), response)
+            attempt.end(link.outcome(reply), reply)
 
-    def on_lost(self, connection: Connection) -> None:
+    def on_lost(self, link: Link) -> None:
         self.upstream.open -= 1
-        self.upstream.active.pop(connection, None)
-        if connection in self.idle:
-            self.idle.remove(connection)
-        attempt, connection.attempt = connection.attempt, None
-        if attempt is not None:
+        self._forget(link)
+        if link in self.idle:
+            self.idle.remove(link)
+        for attempt, outcome in link.lose():
             attempt.connection = None
-            # Not wholly written: the endpoint begins with the last byte, so it never ran.
-            attempt.end(Outcome.RESET if connection.written else Outcome.CONNECT_FAILED)
+            attempt.end(outcome)
 
-    def rest(self, connection: Connection) -> None:
+    def _forget(self, link: Link) -> None:
+        self.upstream.active.pop(link, None)
+        if self.shared and link in self.shared:
+            self.shared.remove(link)
+
+    def rest(self, link: Link) -> None:
         if self.ready:
-            connection.idle_since = now_us()
-            self.idle.append(connection)
+            link.idle_since = now_us()
+            self.idle.append(link)
         else:
-            connection.close()
+            link.close()
             self.upstream.open -= 1
 
 
-def classify(response: Response) -> Outcome:
-    """The protocol's table of what comes back; a plain 503 is an error that may have run."""
-    if response.status == 200:
-        return Outcome.OK
-    if response.status in (503, 504):
-        for name, value in response.headers:
-            if name.lower() == b"srv-declined" and value.strip() == b"1":
-                return Outcome.FULL
-    return Outcome.ERROR
-
-
-def reported(response: Response) -> Load | None:
-    """What the endpoint says of its load, where the answer carries a report that can be read."""
-    for name, value in response.headers:
-        if name.lower() == b"srv-load":
-            return read_load(value.decode("latin-1"), "=")
-    return None
-
-
 class Upstream:
     """All pools, and the bound on their connections together."""
 
@@ -332,7 +148,7 @@
         self.open = 0  # connections that are up or coming up
         self.budget = budget
         self.pools: dict[str, Pool] = {}  # of the endpoints that are ready, and no others
-        self.active: dict[Connection, None] = {}  # with an attempt out on them
+        self.active: dict[Link, None] = {}  # with an attempt out on them
         self._connecting: set[asyncio.Task[None]] = set()
 
     async def sweep(self) -> None:
@@ -381,9 +197,9 @@
         if pool is None:
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
             return
-        connection = pool.take()
-        if connection is not None:
-            self._write(attempt, connection, pool)
+        link = pool.take(attempt.wire)
+        if link is not None:
+            self._write(attempt, link, pool)
         elif self.open < self.most or self._make_room():
             self.open += 1
             task = loop.create_task(self._connect(attempt, pool))
@@ -403,7 +219,7 @@
         return True
 
     async def _connect(self, attempt: Attempt, pool: Pool) -> None:
-        connection = Connection(pool, self.budget)
+        connection = attempt.wire.link(pool, self.budget)
         try:
             # A machine that has vanished says nothing: a connection that does not come up has to be given up.
             async with asyncio.timeout(self.connect_timeout_s):
@@ -422,13 +238,11 @@
         else:
             self._write(attempt, connection, pool)
 
-    def _write(self, attempt: Attempt, connection: Connection, pool: Pool) -> None:
+    def _write(self, attempt: Attempt, link: Link, pool: Pool) -> None:
         data = attempt.data(now_us())
         if data is None:
-            pool.rest(connection)
+            if not link.busy:
+                pool.rest(link)
             asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
             return
-        connection.attempt = attempt
-        attempt.connection = connection
-        self.active[connection] = None
-        connection.send(data)
+        pool.write(attempt, link, data)
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -15,13 +15,14 @@
 
 import uvloop
 
+from eiderhub.protocols.http1.server import Server
 from eiderhub.routing.plan import Plan
 from eiderhub.settings import settings_from
 from eiderhub.sidecar.bounds import Bounds
+from eiderhub.sidecar.callers import Callers
 from eiderhub.sidecar.config import Address, Config
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
-from eiderhub.sidecar.server import Server
 from standins.discovery import listing, row
 from standins.http import Message, answer, read_message
 
@@ -198,8 +199,9 @@
         )
         self.host = Host(self.config)
         self.sweep = asyncio.create_task(self.host.upstream.sweep())
-        self.server = Server(self.host, self.bounds.callers)
-        self.watch = asyncio.create_task(self.server.watch_callers())
+        self.callers = Callers(self.bounds.callers, self.host.longest_s, self.host.budget)
+        self.server = Server(self.host, self.callers)
+        self.watch = asyncio.create_task(self.callers.watch())
         await self.server.bind("127.0.0.1", 0)
         self.host.start()
         await self.server.listener.start_serving()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from eiderhub.sidecar import server
+from eiderhub.sidecar import callers as server
 from eiderhub.sidecar.clock import now_us
 from tests.sidecar_support import Sidecar, program, ready, run
 
@@ -152,7 +152,7 @@
                 assert (await client.answer()).status == 408
             await client.reader.read()  # a close, with the parser's own word before it or without
             client.writer.close()
-            while len(sidecar.server.callers) > 1:
+            while len(sidecar.callers) > 1:
                 await asyncio.sleep(0.01)
             assert sidecar.host.budget.held == len(b"x")
             asked.reply()
@@ -171,7 +171,7 @@
             client = await sidecar.client()
             assert await ready(client) == 200
             assert await client.reader.read() == b""
-            assert not sidecar.server.callers
+            assert not sidecar.callers
 
     run(test())
 
@@ -239,7 +239,7 @@
                     (await asyncio.wait_for(endpoint.next(), 0.3)).reply(200, b"x" * 65_000)
                     served += 1
             assert served < 400
-            while sidecar.server.callers:
+            while sidecar.callers:
                 await asyncio.sleep(0.01)
 
     run(test())
@@ -332,7 +332,7 @@
             client = await sidecar.client()
             client.send(Connection="close")
             asked = await sidecar.endpoints[0].next()
-            (caller,) = sidecar.server.callers
+            (caller,) = sidecar.callers.all
             caller.since_us -= 60_000_000
             asked.reply(200, b"x" * 60_000)
             answer = await client.answer()
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from eiderhub.sidecar import host, server, upstream
+from eiderhub.protocols.http1 import client as http1_client
+from eiderhub.protocols.http1 import server
+from eiderhub.sidecar import callers, host, upstream
 from eiderhub.sidecar.clock import now_us
 from tests.sidecar_support import Asked, Client, Sidecar, run
 
@@ -16,7 +18,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.us = now_us()
-        for module in (host, server, upstream):
+        for module in (callers, http1_client, host, server, upstream):
             monkeypatch.setattr(module, "now_us", lambda: self.us)
 
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -9,11 +9,12 @@
 import pytest
 
 from eiderhub.interface import ListForm
+from eiderhub.protocols.http1.client import Connection
+from eiderhub.protocols.http1.server import CallerConnection
 from eiderhub.sidecar.clock import Alarm
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
-from eiderhub.sidecar.server import CallerConnection
-from eiderhub.sidecar.upstream import Attempt, Connection, Pool
+from eiderhub.sidecar.upstream import Attempt, Pool
 from tests.sidecar_support import Fake, Sidecar, row, run
 
 COUNTED = (Alarm, Attempt, CallerConnection, Connection, Pool, Request)
@@ -63,7 +64,7 @@
                 gc.enable()
 
     async def settled(sidecar: Sidecar) -> None:
-        while sidecar.server.callers or sidecar.host.requests or sidecar.host.upstream.open:
+        while sidecar.callers or sidecar.host.requests or sidecar.host.upstream.open:
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)  # what was aborted is let go of in the loop's next turns
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,11 +14,14 @@
 import pytest
 
 from eiderhub.interface import ListForm, Readiness
+from eiderhub.protocols.http1.client import Exchange, Response
+from eiderhub.protocols.http1.server import FAILURES
 from eiderhub.sidecar import __main__ as entry
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
+from eiderhub.sidecar.seam import Failure
 from tests.sidecar_support import (
     SETUP,
     Fake,
@@ -38,14 +41,20 @@
     def __init__(self) -> None:
         self.all: asyncio.Queue[int] = asyncio.Queue()
 
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        self.all.put_nowait(status)
+    def served(self, reply: Response) -> None:
+        self.all.put_nowait(200)
+
+    def refused(self, wait_us: int) -> None:
+        self.all.put_nowait(503)
+
+    def failed(self, why: Failure) -> None:
+        self.all.put_nowait(FAILURES[why])
 
 
 def direct(caller: Answers, grade: str = "pay") -> Request:
     """A request as the server hands it over; its head only has to end where the deadline's value follows."""
     head = b"POST /pay HTTP/1.1\r\nHost: e\r\nReq-Id: d1\r\nContent-Length: 0\r\n"
-    return Request(caller, grade, "acme", None, now_us() + 2_000_000, head, b"")
+    return Request(caller, grade, "acme", None, now_us() + 2_000_000, Exchange(head, b""))
 
 
 # --- what passes through ---
@@ -108,7 +117,7 @@
             client.send(body=b"0")
             client.send(body=b"1")
             asked = await sidecar.endpoints[0].next()
-            sidecar.server.leaving = True
+            sidecar.callers.leaving = True
             asked.reply(200, asked.message.body)
             asked = await sidecar.endpoints[0].next()
             asked.reply(200, asked.message.body)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,10 +9,11 @@
 import pytest
 
 from eiderhub.interface import Outcome
+from eiderhub.protocols.http1.client import HTTP1, Response
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar import upstream
 from eiderhub.sidecar.bounds import Budget
-from eiderhub.sidecar.upstream import Attempt, Response, Upstream
+from eiderhub.sidecar.upstream import Attempt, Upstream
 from tests.sidecar_support import (
     SETUP,
     Sidecar,
@@ -115,7 +116,7 @@
             ) -> None:
                 ended.put_nowait(outcome)
 
-            upstream.send(Attempt(0, "e", lambda _, size=size: b"x" * size, on_end))  # type: ignore[misc]
+            upstream.send(Attempt(0, "e", HTTP1, lambda _, size=size: b"x" * size, on_end))  # type: ignore[misc]
             peer, _ = await asyncio.get_running_loop().sock_accept(listener)
             assert await asyncio.get_running_loop().sock_recv(peer, 16)  # the first bytes have come
             peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
@@ -137,7 +138,7 @@
         upstream = Upstream(0, 100_000, 4, Budget(1 << 20))
         upstream.place("e", "127.0.0.1", full.getsockname()[1], 0)
         ended: asyncio.Queue[Outcome] = asyncio.Queue()
-        upstream.send(Attempt(0, "e", lambda _: b"x", lambda _, outcome, __: ended.put_nowait(outcome)))
+        upstream.send(Attempt(0, "e", HTTP1, lambda _: b"x", lambda _, outcome, __: ended.put_nowait(outcome)))
         assert await ended.get() is Outcome.CONNECT_FAILED
         for sock in (full, *fillers):
             sock.close()
@@ -157,7 +158,7 @@
         ended: asyncio.Queue[Outcome] = asyncio.Queue()
 
         def send() -> None:
-            upstream.send(Attempt(0, "e", lambda _: b"x", lambda _, outcome, __: ended.put_nowait(outcome)))
+            upstream.send(Attempt(0, "e", HTTP1, lambda _: b"x", lambda _, outcome, __: ended.put_nowait(outcome)))
 
         async def serve() -> socket.socket:
             peer, _ = await loop.sock_accept(listener)
