--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -86,6 +86,7 @@
 BINDING = 0.7  # the cap binds when this share of it is in use
 SURE_PART = 0.25  # part of a round for which it must have done so; once, or a burst would find room to tip in
 BOUND_PART = 0.5  # and part of a round once the cap has grown far
+FAIR_KEPT = 0.98  # of a list that has shrunk, kept from one refill window to the next: 10 s for a fifth
 SHY = 5.0  # what is learned above the start falls this many times as fast as the part of endpoints in use
 LOW_TIER_SHARE = 0.8  # share of the cap open to the lower tiers, so the rest finds room at once
 LOW_WORTH = 0.5  # tiers worth less than this share of the best class are lower tiers
@@ -309,7 +310,8 @@
 
     def __init__(self, layer: int) -> None:
         self.each = START_CALLS  # calls that an endpoint is taken to bear, from all copies together
-        self.fair = 0.0  # this copy's part of the endpoints: shares of it bound the sum over all copies
+        self.listed = 0.0  # this copy's part of the endpoints: shares of it bound the sum over all copies
+        self.fair = 0.0  # the same, as the cap counts it: it follows a list that shrinks by and by
         self.open = 1.0  # the part of their capacity that is in use
         self.warm = 1.0  # the part that is surely there: neither cold, nor at rest, nor out of reach
         self.busy: float | None = None  # the mean busy share that its endpoints tell
@@ -333,7 +335,18 @@
         While a part is out, retries and returning endpoints crowd the rest, which bear less than was learned.
         """
         learned = max(0.0, self.each - START_CALLS) * max(0.0, 1.0 - SHY * (1.0 - self.warm))
-        return max(MIN_CAP, min(self.each, START_CALLS + learned) * self.fair * self.open)
+        each = min(self.each, START_CALLS + learned)
+        return max(MIN_CAP, min(each * self.fair, max(each, SURE_CALLS) * self.listed) * self.open)
+
+    def size(self, fair: float) -> None:
+        """A list has come.
+
+        Danger: in a release endpoints leave the list and are back within seconds, some at any time. A cap that
+        goes with each of them starves the tier while its clients repeat, so calls stay as many for a while,
+        as far as those that are left bear them on any day.
+        """
+        self.listed = fair
+        self.fair = max(fair, self.fair)
 
     def room(self, scarcity: float) -> float:
         """The calls that may be out at one moment, while the cap bounds their mean.
@@ -606,6 +619,7 @@
     def turn(self) -> None:
         rate = self.sent * 1e6 / REFILL_WINDOW_US
         self.rate += (RATE_RISE if rate > self.rate else RATE_FALL) * (rate - self.rate)
+        self.limit.fair = max(self.limit.listed, FAIR_KEPT * self.limit.fair)
         self.sent = 0
 
 
@@ -755,7 +769,7 @@
                 (placement.local, near, 1.0),
                 (placement.remote, far, REMOTE_PART if near else 1.0),
             ):
-                pool.limit.fair = fair * part
+                pool.limit.size(fair * part)
                 pool.counted_at = 0
                 size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.each * pool.limit.fair))
                 pool.subset.fill(members, s.rank, s.balancers, size)
@@ -932,7 +946,8 @@
             limit = pool.limit
             self._count_in_use(now, pool)
             if pool is placement.remote and placement.local.subset.members:  # it carries what was lost here
-                limit.fair = placement.local.limit.fair * max(REMOTE_PART, 1.0 - placement.local.limit.open)
+                lost = 1.0 - placement.local.limit.open
+                limit.listed = limit.fair = placement.local.limit.fair * max(REMOTE_PART, lost)
             if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
                 continue
--- a/eiderhub/protocols/http1/client.py
+++ b/eiderhub/protocols/http1/client.py
@@ -163,6 +163,9 @@
 class Http1:
     """The way to speak HTTP/1.1 to an endpoint."""
 
+    def at(self, labels: frozenset[str]) -> Http1:
+        return self
+
     def link(self, owner: Owner, budget: Budget) -> Connection:
         return Connection(owner, budget)
 
--- /dev/null
+++ b/eiderhub/protocols/thrift/client.py
@@ -0,0 +1,189 @@
+"""The client side of Thrift: framed connections to servers, one call at a time on each, and how calls end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from eiderhub.interface import Load, Outcome
+from eiderhub.protocols.thrift import answers
+from eiderhub.protocols.thrift.convert import convert, with_seqid
+from eiderhub.protocols.thrift.frames import FrameReader, framed
+from eiderhub.protocols.thrift.messages import read_header
+from eiderhub.protocols.thrift.plan import Options
+from eiderhub.protocols.thrift.wire import MAX_FRAME, Encoding, Header, Kind, Malformed
+from eiderhub.sidecar.bounds import Budget
+from eiderhub.sidecar.clock import now_us
+from eiderhub.sidecar.seam import SENT, Link, Owner
+from eiderhub.sidecar.upstream import Attempt
+
+MAX_SEQID = 0x7FFFFFFF
+
+
+class Reply:
+    """A whole answer of a server, in its encoding."""
+
+    __slots__ = ("header", "message")
+
+    def __init__(self, message: bytes, header: Header) -> None:
+        self.message = message
+        self.header = header
+
+    def load(self) -> Load | None:
+        """Thrift has no place for a report."""
+        return None
+
+
+class Thrift:
+    """The way to speak Thrift to the endpoints of a listener: their encoding, and what they mean by shedding load."""
+
+    def __init__(
+        self, encoding: Encoding, shedding: frozenset[int] = answers.NO_SHEDDING, most: int = MAX_FRAME
+    ) -> None:
+        self.encoding = encoding
+        self.shedding = shedding
+        self.most = most  # bytes of a reply
+        self.stated: dict[str, Thrift] = {}  # by an endpoint's label that stands above: how to speak to that one
+
+    def at(self, labels: frozenset[str]) -> Thrift:
+        if self.stated:
+            for label, wire in self.stated.items():
+                if label in labels:
+                    return wire
+        return self
+
+    def link(self, owner: Owner, budget: Budget) -> Connection:
+        return Connection(owner, budget, self)
+
+
+def wires(options: Options) -> dict[Encoding, Thrift]:
+    """By the caller's encoding: how its calls go on."""
+    found = {e: Thrift(e, options.shedding, options.most) for e in Encoding}
+    if options.stated:
+        labels = {f"thrift={e.name.lower()}": wire for e, wire in found.items()}
+        for wire in found.values():
+            wire.stated = labels
+    return {e: found[options.encoding if options.encoding is not None else e] for e in Encoding}
+
+
+class Call:
+    """A call as it goes out. Each encoding of it is made once: servers see the client's message, but for its id."""
+
+    __slots__ = ("_made", "header", "wire")
+
+    def __init__(self, message: bytes, header: Header, wire: Thrift) -> None:
+        """Raises Malformed where it would have to be converted and can't be: the caller's fault, and no endpoint's."""
+        self.header = header
+        self.wire = wire
+        self._made = {header.encoding: (message, header)}
+        if wire.stated or wire.encoding is not header.encoding:
+            for encoding in Encoding:
+                self._made.setdefault(encoding, _converted(message, header, encoding))
+
+    def data(self, left_ms: int) -> Call:
+        """Thrift's header has no place for the time that is left."""
+        return self
+
+    def stamped(self, encoding: Encoding, seqid: int) -> bytes:
+        """The message in the server's encoding, with the sequence id of a link."""
+        message, header = self._made[encoding]
+        return with_seqid(message, header, seqid)
+
+
+def _converted(message: bytes, header: Header, to: Encoding) -> tuple[bytes, Header]:
+    made = convert(message, header, to, header.seqid)
+    return made, read_header(made, to)
+
+
+class Connection(Link):
+    """One framed connection to a server.
+
+    One call at a time: a server may answer several in any order, or none of them, and one that is given up can then
+    be cut off without a loss to another. Whatever is not the one answer that is waited for ends the connection.
+    """
+
+    def __init__(self, owner: Owner, budget: Budget, wire: Thrift) -> None:
+        super().__init__(owner)
+        self.wire: Thrift = wire
+        self.budget = budget
+        self.held = 0
+        self.seqid = 0
+        self.asked: Header | None = None
+        self._frames = FrameReader(wire.most)
+
+    def begin(self, attempt: Attempt, data: Call) -> None:
+        self.attempt = attempt
+        self.seqid = self.seqid % MAX_SEQID + 1
+        self.asked = data.header
+        self.send(framed(data.stamped(self.wire.encoding, self.seqid)))
+        if data.header.kind is Kind.ONEWAY and self.written:
+            self._sent()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.asked is not None and self.asked.kind is Kind.ONEWAY:
+            self._sent()
+
+    def _sent(self) -> None:
+        """The last byte of a oneway call has left: nothing more will come of it. The connection is free again."""
+        attempt, self.attempt, self.asked = self.attempt, None, None
+        self.busy = False
+        self.owner.on_response(self, attempt, SENT, True)
+
+    def outcome(self, reply: Any) -> Outcome:
+        if reply is SENT:
+            return Outcome.OK
+        return answers.judge(reply.message, reply.header, self.wire.shedding)
+
+    def data_received(self, data: bytes) -> None:
+        if self.lost:
+            return
+        if not self.busy or self.asked is None:  # nobody asked
+            self.fail()
+            return
+        try:
+            frames = self._frames.feed(data)
+        except Malformed:
+            self.fail()
+            return
+        if not frames:
+            self.heard_us = now_us()
+            if not self._hold(self._frames.held):
+                self.fail()
+            return
+        self._hold(0)
+        # More than one reply: nobody can tell which is the call's own.
+        if len(frames) > 1 or self._frames.partial:
+            self.fail()
+            return
+        self._answered(frames[0])
+
+    def _hold(self, size: int) -> bool:
+        """Count what is kept of an answer that is not whole against the budget that all share."""
+        if size > self.held and not self.budget.take(size - self.held):
+            return False
+        if size < self.held:
+            self.budget.give_back(self.held - size)
+        self.held = size
+        return True
+
+    def _answered(self, message: bytes) -> None:
+        assert self.asked is not None
+        try:
+            header = read_header(message, self.wire.encoding)
+        except Malformed:
+            self.fail()
+            return
+        if not answers.answers(self.asked, self.seqid, header):
+            self.fail()
+            return
+        attempt, self.attempt, self.asked = self.attempt, None, None
+        reusable = self.written
+        self.busy = False
+        self.heard_us = 0
+        if not reusable:
+            self.close()
+        self.owner.on_response(self, attempt, Reply(message, header), reusable)
+
+    def let_go(self) -> None:
+        self._hold(0)
+        self._frames = FrameReader(self.wire.most)
--- a/eiderhub/sidecar/callers.py
+++ b/eiderhub/sidecar/callers.py
@@ -31,6 +31,11 @@
 
     # --- what each protocol says of itself ---
 
+    @property
+    def idle_s(self) -> float:
+        """How long it may be between requests."""
+        return IDLE_S
+
     @property
     def answering(self) -> bool:
         """Whether an answer is owed."""
@@ -126,7 +131,7 @@
             # One that has asked before may write slowly, but no longer than any answer would be waited for.
             if quiet_s > (self.callers.longest_s if self.known else FIRST_S):
                 self.late()
-        elif quiet_s > (IDLE_S if self.known else FIRST_S) and (self.stuck or not self.unread()):
+        elif quiet_s > (self.idle_s if self.known else FIRST_S) and (self.stuck or not self.unread()):
             self.transport.abort()
 
     def unread(self) -> bool:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -19,7 +19,7 @@
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
-from eiderhub.sidecar.seam import Caller, Failure, Payload, Reply
+from eiderhub.sidecar.seam import SENT, Caller, Failure, Payload, Reply
 from eiderhub.sidecar.upstream import Attempt, Upstream
 
 log = logging.getLogger(__name__)
@@ -185,8 +185,8 @@
 
     # --- attempts ---
 
-    def _data(self, request: Request, until_us: int, now: int) -> bytes | None:
-        """The bytes of an attempt that is written now; none once the request is over."""
+    def _data(self, request: Request, until_us: int, now: int) -> Any:
+        """What an attempt that goes out now sends; None once the request is over."""
         left_ms = (until_us - now) // 1000
         if request.answered or left_ms < 1:
             return None
@@ -206,7 +206,8 @@
             attempt.endpoint,
             spent,
             request.answered,
-            outcome,
+            # Of what left and has no answer nothing is learned: it took no time, and nobody knows how it went.
+            outcome if reply is not SENT else Outcome.CANCELLED,
             reply.load() if reply is not None else None,
         )
         if not told and not request.out:
@@ -276,7 +277,7 @@
                 self.upstream.retire(missing)
         for endpoint, host, port in entries:
             if endpoint.readiness is Readiness.READY:
-                self.upstream.place(endpoint.id, host, port, endpoint.launched_us)
+                self.upstream.place(endpoint.id, host, port, endpoint.launched_us, endpoint.labels)
             else:
                 self.upstream.retire(endpoint.id)
         self.listed = self.listed or bool(entries)
--- a/eiderhub/sidecar/seam.py
+++ b/eiderhub/sidecar/seam.py
@@ -51,13 +51,16 @@
     def wire(self) -> Wire:
         """How it is spoken: the attempt goes out on a link of this wire."""
 
-    def data(self, left_ms: int) -> bytes:
-        """The bytes of one attempt, which may take so long. May be made anew, and differ, for each."""
+    def data(self, left_ms: int) -> Any:
+        """What one attempt, which may take so long, sends: bytes, or what the links of this wire make bytes of."""
 
 
 class Wire(Protocol):
     """The client side of a protocol. One object for each way to speak to an endpoint, so that pools tell them apart."""
 
+    def at(self, labels: frozenset[str]) -> Wire:
+        """How to speak to an endpoint that states these facts of itself."""
+
     def link(self, owner: Owner, budget: Budget) -> Link: ...
 
 
@@ -93,8 +96,8 @@
         """How many more attempts it may carry."""
         return 0 if self.busy or self.lost else 1
 
-    def begin(self, attempt: Attempt, data: bytes) -> None:
-        """Send an attempt."""
+    def begin(self, attempt: Attempt, data: Any) -> None:
+        """Send what an attempt's payload has made for it."""
         self.attempt = attempt
         self.send(data)
 
@@ -165,3 +168,13 @@
         """End what is out, and the connection, for what came or did not come on it."""
         self.close()
         self.owner.on_lost(self)
+
+
+class Sent:
+    """In place of a reply: a call that has none has left, its last byte included. Nothing can be learned of it."""
+
+    def load(self) -> Load | None:
+        return None
+
+
+SENT = Sent()
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -31,13 +31,13 @@
         number: int,
         endpoint: str,
         wire: Wire,
-        data: Callable[[int], bytes | None],
+        data: Callable[[int], Any],
         on_end: Callable[[Attempt, Outcome, Any], None],
     ) -> None:
         self.number = number
         self.endpoint = endpoint
         self.wire = wire
-        self.data = data  # the bytes to send, made as they go out, or None where the time is up
+        self.data = data  # what to send, made as it goes out, or None where the time is up
         self.on_end = on_end
         self.sent_us = now_us()
         self.connection: Link | None = None
@@ -64,8 +64,9 @@
 class Pool:
     """The connections to one endpoint, each of the wire that its attempts speak."""
 
-    def __init__(self, upstream: Upstream, host: str, port: int, launched_us: int) -> None:
+    def __init__(self, upstream: Upstream, host: str, port: int, launched_us: int, labels: frozenset[str]) -> None:
         self.upstream = upstream
+        self.labels = labels  # what the endpoint states of itself
         self.host = host
         self.port = port
         self.launched_us = launched_us
@@ -95,7 +96,7 @@
             self.idle.pop(0).close()
             self.upstream.open -= 1
 
-    def write(self, attempt: Attempt, link: Link, data: bytes) -> None:
+    def write(self, attempt: Attempt, link: Link, data: Any) -> None:
         attempt.connection = link
         self.upstream.active[link] = None
         link.begin(attempt, data)
@@ -165,12 +166,15 @@
                 if 0 < connection.heard_us < now - STALL_US:
                     connection.fail()
 
-    def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
+    def place(
+        self, endpoint: str, host: str, port: int, launched_us: int, labels: frozenset[str] = frozenset()
+    ) -> None:
         """An endpoint that is ready; where its address is another, or its process, old connections go."""
         pool = self.pools.get(endpoint)
         if pool is None:
-            self.pools[endpoint] = Pool(self, host, port, launched_us)
+            self.pools[endpoint] = Pool(self, host, port, launched_us, labels)
             return
+        pool.labels = labels
         if (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
             pool.close_idle()
             pool.host, pool.port, pool.launched_us = host, port, launched_us
@@ -197,7 +201,7 @@
         if pool is None:
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
             return
-        link = pool.take(attempt.wire)
+        link = pool.take(attempt.wire.at(pool.labels))
         if link is not None:
             self._write(attempt, link, pool)
         elif self.open < self.most or self._make_room():
@@ -219,7 +223,7 @@
         return True
 
     async def _connect(self, attempt: Attempt, pool: Pool) -> None:
-        connection = attempt.wire.link(pool, self.budget)
+        connection = attempt.wire.at(pool.labels).link(pool, self.budget)
         try:
             # A machine that has vanished says nothing: a connection that does not come up has to be given up.
             async with asyncio.timeout(self.connect_timeout_s):
