--- a/eiderhub/config/operator.py
+++ b/eiderhub/config/operator.py
@@ -18,6 +18,7 @@
     "pools": "eiderhub.routing.options",
     "routing": "eiderhub.routing.options",
     "routes": "eiderhub.routing.options",
+    "thrift": "eiderhub.protocols.thrift.options",
 }
 
 
--- a/eiderhub/protocols/thrift/paths.py
+++ b/eiderhub/protocols/thrift/paths.py
@@ -57,7 +57,8 @@
 def read(message: bytes, header: Header, wanted: Tree) -> dict[str, Value]:
     """The values at the wanted paths, by name; those that are absent are left out.
 
-    Raises Malformed where the message can't be walked, a path ends at what is no single value, or a field on a path
+    One port serves methods whose arguments differ: a path that leads through what is no struct in this one, or ends at
+    what is no single value, is absent from it. Raises Malformed where the message can't be walked, or a field on a path
     stands twice.
     """
     found: dict[str, Value] = {}
@@ -76,11 +77,11 @@
         name = wanted.leaves.get(number)
         if name is not None:
             _once(number, seen)
-            found[name], at = _binary_value(message, at, kind, name)
-        elif number in wanted.below:
+            value, at = _binary_value(message, at, kind)
+            if value is not None:
+                found[name] = value
+        elif number in wanted.below and kind == T.STRUCT:
             _once(number, seen)
-            if kind != T.STRUCT:
-                raise Malformed(f"field {number} is no struct, and a path leads through it")
             at = _walk_binary(message, at, wanted.below[number], found)
         else:
             at = skip(message, at, kind, 1)
@@ -96,11 +97,11 @@
         name = wanted.leaves.get(last)
         if name is not None:
             _once(last, seen)
-            found[name], at = _compact_value(message, at, kind, name)
-        elif last in wanted.below:
+            value, at = _compact_value(message, at, kind)
+            if value is not None:
+                found[name] = value
+        elif last in wanted.below and kind == compact.STRUCT:
             _once(last, seen)
-            if kind != compact.STRUCT:
-                raise Malformed(f"field {last} is no struct, and a path leads through it")
             at = _walk_compact(message, at, wanted.below[last], found)
         elif kind > compact.FALSE:
             at = compact.skip(message, at, kind, 1)
@@ -119,7 +120,8 @@
 }
 
 
-def _binary_value(message: bytes, at: int, kind: int, name: str) -> tuple[Value, int]:
+def _binary_value(message: bytes, at: int, kind: int) -> tuple[Value | None, int]:
+    """The value and where it ends; None where it is no single one."""
     end = binary.skip(message, at, kind, 1)
     if kind == T.STRING:
         begin, end = binary.string_end(message, at)
@@ -132,10 +134,11 @@
         return message[at] - 256 if message[at] > 127 else message[at], end
     if kind == T.DOUBLE:
         return float(binary.DOUBLE.unpack_from(message, at)[0]), end
-    raise Malformed(f"{name}: the field is no single value")
+    return None, end
 
 
-def _compact_value(message: bytes, at: int, kind: int, name: str) -> tuple[Value, int]:
+def _compact_value(message: bytes, at: int, kind: int) -> tuple[Value | None, int]:
+    """The value and where it ends; None where it is no single one."""
     if kind <= compact.FALSE:
         return kind == compact.TRUE, at
     if kind == compact.BINARY:
@@ -149,4 +152,4 @@
         return message[at] - 256 if message[at] > 127 else message[at], end
     if kind == compact.DOUBLE:
         return float(compact.LITTLE.unpack_from(message, at)[0]), end
-    raise Malformed(f"{name}: the field is no single value")
+    return None, end
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -59,7 +59,7 @@
             worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
 
 
-async def drain(server: Server, callers: Callers, host: Host) -> None:
+async def drain(listeners: Sequence[asyncio.Server], callers: Callers, host: Host) -> None:
     """Answer all that was taken, in time for SIGKILL, while new callers are sent elsewhere.
 
     Callers use the connections that they have for as long as these stay open, so those are served on for a
@@ -70,7 +70,8 @@
     begun_us = now_us()
     callers.draining = True
     await asyncio.sleep(ACCEPT_S)
-    server.listener.close()
+    for listener in listeners:
+        listener.close()
     await asyncio.sleep(SERVE_SHARE * end - ACCEPT_S)
     callers.leaving = True
     while callers and now_us() < begun_us + int(end * 1e6):
@@ -124,6 +125,21 @@
         log.info("the configuration is taken")
 
 
+def port_of(listener: asyncio.Server) -> int:
+    """The one that was taken, where the file asks for any."""
+    return int(listener.sockets[0].getsockname()[1])
+
+
+async def thrift_port(config: Config, host: Host, callers: Callers) -> asyncio.Server:
+    """The port for Thrift; what it needs is imported only where there is one."""
+    from eiderhub.protocols.thrift import server as thrift
+
+    server = thrift.Server(host, callers, config.thrift)
+    await server.bind()
+    log.info("%s takes Thrift on %s:%d", config.name, config.thrift.host, port_of(server.listener))
+    return server.listener
+
+
 async def serve(config: Config, operator: str | None) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -134,6 +150,9 @@
     callers = Callers(config.bounds.callers, host.longest_s, host.budget)
     server = Server(host, callers)
     await server.bind(config.listen.host, config.listen.port)
+    listeners = [server.listener]
+    if config.thrift is not None:
+        listeners.append(await thrift_port(config, host, callers))
     host.start()
     chores = (host.upstream.sweep(), callers.watch(), watch_lag())
     background = [loop.create_task(chore) for chore in chores]
@@ -141,11 +160,11 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    await server.listener.start_serving()
-    port = server.listener.sockets[0].getsockname()[1]  # the one that was taken, where the file asks for any
-    log.info("%s serves on %s:%d", config.name, config.listen.host, port)
+    for listener in listeners:
+        await listener.start_serving()
+    log.info("%s serves on %s:%d", config.name, config.listen.host, port_of(server.listener))
     await stop.wait()
-    await drain(server, callers, host)
+    await drain(listeners, callers, host)
     for task in background:
         task.cancel()
 
