--- a/eiderhub/protocols/thrift/client.py
+++ b/eiderhub/protocols/thrift/client.py
@@ -68,12 +68,13 @@
 class Call:
     """A call as it goes out. Each encoding of it is made once: servers see the client's message, but for its id."""
 
-    __slots__ = ("_made", "header", "wire")
+    __slots__ = ("_made", "header", "unknown", "wire")
 
     def __init__(self, message: bytes, header: Header, wire: Thrift) -> None:
         """Raises Malformed where it would have to be converted and can't be: the caller's fault, and no endpoint's."""
         self.header = header
         self.wire = wire
+        self.unknown = False  # whether an endpoint said that it has no such method
         self._made = {header.encoding: (message, header)}
         if wire.stated or wire.encoding is not header.encoding:
             for encoding in Encoding:
@@ -107,25 +108,25 @@
         self.budget = budget
         self.held = 0
         self.seqid = 0
-        self.asked: Header | None = None
+        self.call: Call | None = None  # what is out
         self._frames = FrameReader(wire.most)
 
     def begin(self, attempt: Attempt, data: Call) -> None:
         self.attempt = attempt
         self.seqid = self.seqid % MAX_SEQID + 1
-        self.asked = data.header
+        self.call = data
         self.send(framed(data.stamped(self.wire.encoding, self.seqid)))
         if data.header.kind is Kind.ONEWAY and self.written:
             self._sent()
 
     def resume_writing(self) -> None:
         super().resume_writing()
-        if self.asked is not None and self.asked.kind is Kind.ONEWAY:
+        if self.call is not None and self.call.header.kind is Kind.ONEWAY:
             self._sent()
 
     def _sent(self) -> None:
         """The last byte of a oneway call has left: nothing more will come of it. The connection is free again."""
-        attempt, self.attempt, self.asked = self.attempt, None, None
+        attempt, self.attempt, self.call = self.attempt, None, None
         self.busy = False
         self.owner.on_response(self, attempt, SENT, True)
 
@@ -137,7 +138,7 @@
     def data_received(self, data: bytes) -> None:
         if self.lost:
             return
-        if not self.busy or self.asked is None:  # nobody asked
+        if self.call is None:  # nobody asked
             self.fail()
             return
         try:
@@ -167,23 +168,27 @@
         return True
 
     def _answered(self, message: bytes) -> None:
-        assert self.asked is not None
+        assert self.call is not None
         try:
             header = read_header(message, self.wire.encoding)
         except Malformed:
             self.fail()
             return
-        if not answers.answers(self.asked, self.seqid, header):
+        if not answers.answers(self.call.header, self.seqid, header):
             self.fail()
             return
-        attempt, self.attempt, self.asked = self.attempt, None, None
+        attempt, call = self.attempt, self.call
+        self.attempt = self.call = None
         reusable = self.written
         self.busy = False
         self.heard_us = 0
         if not reusable:
             self.close()
-        self.owner.on_response(self, attempt, Reply(message, header), reusable)
+        reply = Reply(message, header)
+        call.unknown = call.unknown or self.outcome(reply) is Outcome.MOOT
+        self.owner.on_response(self, attempt, reply, reusable)
 
     def let_go(self) -> None:
+        self.call = None
         self._hold(0)
         self._frames = FrameReader(self.wire.most)
--- a/eiderhub/protocols/thrift/server.py
+++ b/eiderhub/protocols/thrift/server.py
@@ -25,12 +25,13 @@
 class Out:
     """One call that was taken: the caller whom the host answers, once."""
 
-    __slots__ = ("answer", "connection", "header", "request", "request_id", "size")
+    __slots__ = ("answer", "connection", "header", "payload", "request", "request_id", "size")
 
     def __init__(self, connection: CallerConnection, header: Header, size: int) -> None:
         self.size = size  # bytes that are given back when it ends
         self.connection: CallerConnection | None = connection
         self.header = header
+        self.payload: Call | None = None
         self.request: Request | None = None
         self.request_id = b""
         self.answer: bytes | None = None  # worded, and not sent yet: earlier calls' answers go first
@@ -48,6 +49,10 @@
         self._end(told)
 
     def refused(self, wait_us: int) -> None:
+        if self.payload is not None and self.payload.unknown:
+            # Danger: a refusal asks to come back, and a method that no endpoint has would be asked for without end.
+            self._exception(Failure.UNKNOWN_METHOD, "failed: no endpoint that was asked has this method")
+            return
         self._exception(*answers.refusal(wait_us))
 
     def failed(self, why: seam.Failure) -> None:
@@ -64,6 +69,7 @@
 
     def _end(self, told: bytes) -> None:
         connection, self.connection, self.request = self.connection, None, None
+        self.payload = None
         if connection is not None:
             connection.ended_call(self, told)
 
@@ -161,7 +167,7 @@
             call._exception(error.failure, str(error))
             return
         self.proved()
-        payload = Call(message, header, self.server.wires[self.encoding])
+        payload = call.payload = Call(message, header, self.server.wires[self.encoding])
         request = Request(
             call, admitted.grade, admitted.tenant, admitted.hint_us, now_us() + admitted.wait_us, payload
         )
