--- a/eiderhub/protocols/thrift/answers.py
+++ b/eiderhub/protocols/thrift/answers.py
@@ -32,7 +32,7 @@
 
     An exception may bear no name, or another: a server that could not read the call does not know it.
     """
-    if header.seqid != seqid or header.kind not in (Kind.REPLY, Kind.EXCEPTION):
+    if asked.kind is Kind.ONEWAY or header.seqid != seqid or header.kind not in (Kind.REPLY, Kind.EXCEPTION):
         return False
     if header.kind is Kind.EXCEPTION:
         return True
--- a/eiderhub/protocols/thrift/client.py
+++ b/eiderhub/protocols/thrift/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from eiderhub.interface import Load, Outcome
@@ -68,24 +69,34 @@
 class Call:
     """A call as it goes out. Each encoding of it is made once: servers see the client's message, but for its id."""
 
-    __slots__ = ("_made", "header", "unknown", "wire")
+    __slots__ = ("_made", "header", "unknown", "unsayable", "wire")
 
     def __init__(self, message: bytes, header: Header, wire: Thrift) -> None:
-        """Raises Malformed where it would have to be converted and can't be: the caller's fault, and no endpoint's."""
+        """Raises Malformed where it has to be converted and can't be: the caller's fault, and no endpoint's."""
         self.header = header
         self.wire = wire
         self.unknown = False  # whether an endpoint said that it has no such method
+        self.unsayable = False  # whether it could not be converted for an endpoint that states another encoding
         self._made = {header.encoding: (message, header)}
-        if wire.stated or wire.encoding is not header.encoding:
-            for encoding in Encoding:
-                self._made.setdefault(encoding, _converted(message, header, encoding))
+        if wire.encoding is not header.encoding and not wire.stated:
+            self._made[wire.encoding] = _converted(message, header, wire.encoding)
+
+    @property
+    def oneway(self) -> bool:
+        return self.header.kind is Kind.ONEWAY
 
     def data(self, left_ms: int) -> Call:
         """Thrift's header has no place for the time that is left."""
         return self
 
     def stamped(self, encoding: Encoding, seqid: int) -> bytes:
-        """The message in the server's encoding, with the sequence id of a link."""
+        """The message in the server's encoding, with the sequence id of a link. Raises Malformed."""
+        if encoding not in self._made:
+            try:
+                self._made[encoding] = _converted(*self._made[self.header.encoding], encoding)
+            except Malformed:
+                self.unsayable = True
+                raise
         message, header = self._made[encoding]
         return with_seqid(message, header, seqid)
 
@@ -112,20 +123,25 @@
         self._frames = FrameReader(wire.most)
 
     def begin(self, attempt: Attempt, data: Call) -> None:
-        self.attempt = attempt
-        self.seqid = self.seqid % MAX_SEQID + 1
-        self.call = data
-        self.send(framed(data.stamped(self.wire.encoding, self.seqid)))
-        if data.header.kind is Kind.ONEWAY and self.written:
-            self._sent()
+        seqid = self.seqid % MAX_SEQID + 1
+        message = data.stamped(self.wire.encoding, seqid)
+        self.attempt, self.call, self.seqid = attempt, data, seqid
+        self.send(framed(message))
+        self._watch_oneway()
 
     def resume_writing(self) -> None:
         super().resume_writing()
-        if self.call is not None and self.call.header.kind is Kind.ONEWAY:
-            self._sent()
+        self._watch_oneway()
+
+    def _watch_oneway(self) -> None:
+        """Later, for no attempt ends while the module is still at work above it."""
+        if self.call is not None and self.call.oneway:
+            asyncio.get_running_loop().call_soon(self._sent, self.call)
 
-    def _sent(self) -> None:
+    def _sent(self, call: Call) -> None:
         """The last byte of a oneway call has left: nothing more will come of it. The connection is free again."""
+        if self.call is not call or not self.written or self.lost:
+            return
         attempt, self.attempt, self.call = self.attempt, None, None
         self.busy = False
         self.owner.on_response(self, attempt, SENT, True)
--- a/eiderhub/protocols/thrift/server.py
+++ b/eiderhub/protocols/thrift/server.py
@@ -53,6 +53,9 @@
             # Danger: a refusal asks to come back, and a method that no endpoint has would be asked for without end.
             self._exception(Failure.UNKNOWN_METHOD, "failed: no endpoint that was asked has this method")
             return
+        if self.payload is not None and self.payload.unsayable:
+            self._exception(Failure.PROTOCOL_ERROR, "failed: the call can't be read, or not said to its endpoints")
+            return
         self._exception(*answers.refusal(wait_us))
 
     def failed(self, why: seam.Failure) -> None:
--- a/eiderhub/protocols/thrift/wire.py
+++ b/eiderhub/protocols/thrift/wire.py
@@ -45,7 +45,7 @@
     UUID: Final = 16
 
 
-class Malformed(Exception):
+class Malformed(ValueError):
     """Bytes that are no Thrift, or more than the bounds allow; the text says what was wrong."""
 
 
--- a/eiderhub/sidecar/seam.py
+++ b/eiderhub/sidecar/seam.py
@@ -97,7 +97,10 @@
         return 0 if self.busy or self.lost else 1
 
     def begin(self, attempt: Attempt, data: Any) -> None:
-        """Send what an attempt's payload has made for it."""
+        """Send what an attempt's payload has made for it.
+
+        Raises ValueError where that can't be said on this link; nothing is written then.
+        """
         self.attempt = attempt
         self.send(data)
 
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -97,9 +97,9 @@
             self.upstream.open -= 1
 
     def write(self, attempt: Attempt, link: Link, data: Any) -> None:
+        link.begin(attempt, data)
         attempt.connection = link
         self.upstream.active[link] = None
-        link.begin(attempt, data)
         if link.room > 0 and link not in self.shared:
             self.shared.append(link)
 
@@ -245,8 +245,15 @@
     def _write(self, attempt: Attempt, link: Link, pool: Pool) -> None:
         data = attempt.data(now_us())
         if data is None:
-            if not link.busy:
-                pool.rest(link)
-            asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
+            self._spare(attempt, link, pool)
             return
-        pool.write(attempt, link, data)
+        try:
+            pool.write(attempt, link, data)
+        except ValueError:
+            self._spare(attempt, link, pool)
+
+    def _spare(self, attempt: Attempt, link: Link, pool: Pool) -> None:
+        """Nothing was written: the link is as it was."""
+        if not link.busy:
+            pool.rest(link)
+        asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
