--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -310,7 +310,7 @@
 
     def __init__(self, layer: int) -> None:
         self.each = START_CALLS  # calls that an endpoint is taken to bear, from all copies together
-        self.listed = 0.0  # this copy's part of the endpoints: shares of it bound the sum over all copies
+        self.listed = 0.0  # this copy's part of the endpoints: it bounds the sum over all copies
         self.fair = 0.0  # the same, as the cap counts it: it follows a list that shrinks by and by
         self.open = 1.0  # the part of their capacity that is in use
         self.warm = 1.0  # the part that is surely there: neither cold, nor at rest, nor out of reach
@@ -341,9 +341,9 @@
     def size(self, fair: float) -> None:
         """A list has come.
 
-        Danger: in a release endpoints leave the list and are back within seconds, some at any time. A cap that
-        goes with each of them starves the tier while its clients repeat, so calls stay as many for a while,
-        as far as those that are left bear them on any day.
+        Danger: in a release endpoints leave the list and are back within seconds, some at any time. A cap
+        that goes with each of them starves the tier while its clients repeat, so calls stay as many for a
+        while, as far as those that are left bear them on any day.
         """
         self.listed = fair
         self.fair = max(fair, self.fair)
