--- a/eiderhub/config/command.py
+++ b/eiderhub/config/command.py
@@ -49,10 +49,10 @@
 
     one = commands.add_parser("explain", help="say what becomes of a request")
     one.add_argument("paths", nargs="+", metavar="FILE", help="a sidecar's file, and its operator's file if it has one")
-    one.add_argument("--request", required=True, metavar="R", help='such as "POST /despacho/a"')
+    one.add_argument("--request", required=True, metavar="R", help='such as "POST /despacho/a" or "Invoice:issue"')
     one.add_argument("--header", action="append", default=[], metavar="NAME=VALUE", help="a header of the request")
     one.add_argument("--tenant", help="its tenant")
-    one.add_argument("--protocol", default="http")
+    one.add_argument("--protocol", choices=("http", "thrift"), default="http")
     one.add_argument("--service", help="for protocols that have services")
     one.add_argument("--call", help="the method called on the service")
     one.add_argument("--json", action="store_true", help="as JSON, for machines")
@@ -125,8 +125,13 @@
 
 
 def _explain(options: argparse.Namespace) -> int:
+    service, call = options.service, options.call
     try:
-        method, path, query = explaining.requests_of(options.request.split())
+        if options.protocol == "thrift" and call is None:
+            service, call = explaining.call_of(options.request)
+            method, path, query = "", b"/" + call.encode(), b""
+        else:
+            method, path, query = explaining.requests_of(options.request.split())
     except ValueError as error:
         print(f"eiderhub config explain: {error}", file=sys.stderr)
         return 2
@@ -137,7 +142,7 @@
     for pair in options.header:
         name, _, value = pair.partition("=")
         headers[name.lower().encode("latin-1", "replace")] = value.encode("latin-1", "replace")
-    asked = Asked(options.protocol, method, (), headers, query, options.tenant, options.service, options.call)
+    asked = Asked(options.protocol, method, (), headers, query, options.tenant, service, call)
     found = explaining.explain(config.plan, asked, path)
     told = dict(_told(found, config))
     if options.json:
--- a/eiderhub/config/describe.py
+++ b/eiderhub/config/describe.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from eiderhub.config.sidecar_file import PART, Address
+from eiderhub.protocols.thrift.options import TABLES as THRIFT_TABLES
 from eiderhub.routing.options import EFFECTS
 from eiderhub.routing.options import TABLES as ROUTING_TABLES
 from eiderhub.schema.files import read_bytes, read_text, read_toml
@@ -86,6 +87,7 @@
         Key("default", Choice(("first-part", "refuse")), "what becomes of a request that no route takes", "first-part"),
         Key("pools", ROUTING_TABLES["pools"], "pools of endpoints", {}),
         Key("routes", ROUTING_TABLES["routes"], "routes", []),
+        Key("thrift", THRIFT_TABLES["thrift"], "a port for framed Thrift, as the operator's file has it", None),
         Key("loopback", Flag(), "whether the sidecar may listen on loopback addresses only", None),
     )
 )  # fmt: skip
--- a/eiderhub/config/explain.py
+++ b/eiderhub/config/explain.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from eiderhub.balancer import MAX_TRIES, MAX_TRIES_INSIDE, may_refuse, may_resend
 from eiderhub.config.load import needs_restart
@@ -25,16 +25,19 @@
 def explain(plan: Plan, asked: Asked, path: bytes) -> Explained:
     """Which route takes a request, by the same look-up as in service."""
     try:
-        asked.segments = segments_of(path)
+        asked.segments = segments_of(path) if asked.protocol == "http" else (path[1:],)
         grade = plan.grade(asked)
         route = plan.table.find(asked) if plan.table else None
     except Refused as refused:
         return Explained("", None, f"400: the target has {refused}")
+    if grade is None and asked.protocol != "http":
+        return Explained("", None, "exception 1: no route takes it, and its method names no class")
     if grade is None:
         return Explained("", None, "404: no route takes it, and its first part names no class")
     if asked.protocol == "http" and asked.method != METHOD[grade.effect]:
         return Explained(route.name if route else "", grade, f"405: its class takes {METHOD[grade.effect]} alone")
-    return Explained(route.name if route else "the default: the first part of the path", grade, "")
+    default = "the first part of the path" if asked.protocol == "http" else "the method's name is its class"
+    return Explained(route.name if route else f"the default: {default}", grade, "")
 
 
 def may_do(grade: RequestClass, settings: Settings) -> dict[str, str]:
@@ -98,6 +101,8 @@
         Fact("the sidecar", "has connections to endpoints", str(config.bounds.endpoints), True),
         Fact("a request that no route takes", "goes by", plan.default, False),
     ]
+    if config.thrift is not None:
+        found += _thrift_facts(config.thrift)
     for grade in settings.classes:
         found += _class_facts(grade, settings)
     for tenant in settings.tenants:
@@ -118,6 +123,24 @@
     return found
 
 
+def _thrift_facts(options: Any) -> list[Fact]:
+    encoding = options.encoding.name.lower() if options.encoding is not None else "the caller's"
+    time = show_duration(options.deadline_us) if options.deadline_us else "the class's"
+    told = {
+        "listens on": f"{options.host}:{options.port}",
+        "speaks to endpoints in": f"what they state, else {encoding}" if options.stated else encoding,
+        "takes frames up to": show_size(options.most),
+        "answers": "in order" if options.in_order else "as ready",
+        "has calls out on one connection": str(options.calls),
+        "lets callers be idle for": show_duration(options.idle_us),
+        "gives calls that tell none the tenant": options.tenant or "none: they are turned away",
+        "gives calls that tell none the time": time,
+        "takes for turned away unrun the exceptions": ", ".join(map(str, sorted(options.shedding))) or "none",
+    }
+    told.update({f"reads {name} at": ".".join(map(str, path)) for name, path in sorted(options.fields.items())})
+    return [Fact("the Thrift port", what, value, True) for what, value in told.items()]
+
+
 def _class_facts(grade: RequestClass, settings: Settings) -> list[Fact]:
     subject = f"class {grade.name}"
     found = [
@@ -162,6 +185,14 @@
     return found
 
 
+def call_of(text: str) -> tuple[str | None, str]:
+    """Service and method of a call such as `Invoice:issue`, or `issue`. Raises ValueError."""
+    service, _, method = text.rpartition(":")
+    if not method or any(c.isspace() for c in text):
+        raise ValueError('a Thrift call is written like "Invoice:issue"')
+    return service or None, method
+
+
 def requests_of(words: Sequence[str]) -> tuple[str, bytes, bytes]:
     """Method, path and query of a request line such as `POST /despacho/a?b=1`. Raises ValueError."""
     if len(words) not in (2, 3) or (len(words) == 3 and not words[2].startswith("HTTP/")):
--- a/eiderhub/config/write.py
+++ b/eiderhub/config/write.py
@@ -81,6 +81,8 @@
         return ("machine", {"memory_mb": "memory", "sockets": "descriptors"}.get(match[1], match[1]))
     if match := re.match(r"routes\[(\d+)\](?:\.(.+))?", key):
         return ("routes", int(match[1]), *([match[2]] if match[2] else []))
+    if match := re.match(r"(thrift)(?:\.(\w+))?", key):
+        return tuple(part for part in match.groups() if part)
     if match := re.match(r"(classes|pools)\.([^.]+)(?:\.(\w+))?", key):
         return tuple(part for part in match.groups() if part)
     return (key,) if key in application.raw else ()
@@ -262,3 +264,5 @@
         yield from toml_table(f"[pools.{toml_key(name)}]", pool)
     for route in raw.get("routes", []):
         yield from toml_table("[[routes]]", route)
+    if "thrift" in raw:
+        yield from toml_table("[thrift]", raw["thrift"])
--- a/tests/config/test_tool.py
+++ b/tests/config/test_tool.py
@@ -215,3 +215,56 @@
     assert [f.line for f in found] == [*sorted(f.line for f in found[:3]), 2, 4, 7]
     assert "Did you mean 'default'?" in str(found[3])
     assert "Did you mean 'pools'?" in str(found[4])
+
+
+THRIFT = """
+[thrift]
+listen = "127.0.0.1:0"
+fields = { tenant = "1.1", key = "1.2" }
+shedding = [77]
+methods = { "Invoice:issue" = "never" }
+
+[[routes]]
+name = "issue"
+class = "despacho"
+protocol = "thrift"
+service = "Invoice"
+call = "issue"
+"""
+
+
+def test_explain_tells_what_becomes_of_a_thrift_call(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (folder / "operator.toml").write_text(ROUTES + THRIFT)
+    told = explained(folder, "Invoice:issue", capsys, "--protocol", "thrift")
+    assert (told["route"], told["class"]) == ("issue", "despacho")
+    by_name = explained(folder, "despacho", capsys, "--protocol", "thrift")
+    assert by_name["route"] == "the default: the method's name is its class"
+    nothing = explained(folder, "Invoice:undo", capsys, "--protocol", "thrift")
+    assert nothing["answer"] == "exception 1: no route takes it, and its method names no class"
+    assert main(["explain", str(folder), "--request", "no call", "--protocol", "thrift"]) == 2
+
+
+def test_diff_tells_that_a_change_of_the_thrift_port_needs_a_restart(
+    folder: Path, tmp_path_factory: pytest.TempPathFactory, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (folder / "operator.toml").write_text(ROUTES + THRIFT)
+    other = tmp_path_factory.mktemp("other")
+    (other / "sidecar.json").write_text((folder / "sidecar.json").read_text())
+    (other / "operator.toml").write_text(ROUTES + THRIFT.replace("[77]", "[78]"))
+    assert main(["diff", str(folder), str(other), "--json"]) == 0
+    found = json.loads(capsys.readouterr().out)
+    assert [(d["subject"], d["old"], d["new"], d["restart"]) for d in found] == [("the Thrift port", "77", "78", True)]
+
+
+def test_a_description_s_thrift_port_is_written_and_checked(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    description = (Path(__file__).parent.parent / "corpus" / "bad" / "effect-declared--description.toml").read_text()
+    sound = description.rpartition("harmless")[0] + 'never"\n[tenants]\nacme = 1.0\n' + THRIFT
+    path = tmp_path / "shop.toml"
+    path.write_text(sound)
+    assert main(["write", str(path), "--out", str(tmp_path / "out")]) == 0
+    written = (tmp_path / "out" / "shop" / "operator.toml").read_text()
+    assert '[thrift]\nlisten = "127.0.0.1:0"' in written
+    assert main(["check", str(tmp_path / "out")]) == 0
+    path.write_text(sound.replace('methods = { "Invoice:issue"', 'methods = { look'))
+    assert main(["write", str(path), "--out", str(tmp_path / "out")]) == 1
+    assert "unsafe-method" in capsys.readouterr().out
