--- a/eiderhub/protocols/thrift/binary.py
+++ b/eiderhub/protocols/thrift/binary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from struct import Struct
 from typing import Final
 
@@ -19,6 +20,18 @@
 FIXED: Final[dict[int, int]] = {T.BOOL: 1, T.BYTE: 1, T.I16: 2, T.I32: 4, T.I64: 8, T.DOUBLE: 8, T.UUID: 16}
 LEAST: Final[dict[int, int]] = {**FIXED, T.STRING: 4, T.STRUCT: 1, T.MAP: 6, T.SET: 5, T.LIST: 5}
 
+# Fields that need no look at what is within them, as many as stand together: skipped at once, without a step of the
+# interpreter for each. Possessive, so a match never goes back over what it took. A string's length can't be counted in
+# a pattern, so each length of up to 127 bytes has its branch. What the pattern does not know ends the run, and `skip`
+# looks at it.
+SHORT: Final = b"|".join(re.escape(bytes((n,))) + b".{%d}" % n for n in range(128))
+RUN: Final = re.compile(
+    b"(?:[%s]..." % bytes((T.BOOL, T.BYTE))
+    + b"".join(b"|\\x%02x.{%d}" % (kind, 2 + size) for kind, size in FIXED.items() if size > 1)
+    + b"|\\x%02x..\\0\\0\\0(?:%s))*+" % (T.STRING, SHORT),
+    re.DOTALL,
+)
+
 
 def read_header(frame: bytes) -> Header:
     """The header of a message, strict or as old clients send it (the name first, with no version)."""
@@ -82,6 +95,8 @@
         element, count, at = container(frame, at)
         if fixed := FIXED.get(element):
             return at + fixed * count  # `container` has seen that so much is there
+        if element == T.STRUCT and count:
+            return _skip_structs(frame, at, count, depth + 2)
         for _ in range(count):
             at = skip(frame, at, element, depth + 1)
         return at
@@ -93,20 +108,28 @@
     raise Malformed(f"type {kind} is not known")
 
 
+def _skip_structs(frame: bytes, at: int, count: int, depth: int) -> int:
+    """Where so many structs end; `depth` is that within them."""
+    if depth > MAX_DEPTH:
+        raise Malformed(f"more than {MAX_DEPTH} levels within each other")
+    for _ in range(count):
+        at = skip_struct(frame, at, depth)
+    return at
+
+
 def skip_struct(frame: bytes, at: int, depth: int = 0) -> int:
     """Where a struct ends, its stop included."""
     size = len(frame)
-    fixed = FIXED
     while True:
+        run = RUN.match(frame, at)
+        if run is not None:
+            at = run.end()
         if at >= size:
             raise Malformed("a struct without its stop")
         kind = frame[at]
         if not kind:
             return at + 1
-        if length := fixed.get(kind):
-            at += 3 + length
-        else:
-            at = skip(frame, at + 3, kind, depth)
+        at = skip(frame, at + 3, kind, depth)
 
 
 def field(frame: bytes, at: int) -> tuple[int, int, int]:
--- a/eiderhub/protocols/thrift/compact.py
+++ b/eiderhub/protocols/thrift/compact.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from struct import Struct
 from typing import Final
 
+from eiderhub.protocols.thrift.binary import SHORT
 from eiderhub.protocols.thrift.wire import MAX_DEPTH, MAX_NAME, Encoding, Header, Kind, Malformed
 
 PROTOCOL: Final = 0x82
@@ -17,6 +19,30 @@
 LEAST: Final[dict[int, int]] = {**FIXED, I16: 1, I32: 1, I64: 1, BINARY: 1, LIST: 1, SET: 1, MAP: 1, STRUCT: 1}
 
 
+def _headers(*kinds: int) -> bytes:
+    """The headers of fields of these types whose ids are told as steps, as a class of a pattern."""
+    return b"[%s]" % re.escape(bytes(step << 4 | kind for step in range(1, 16) for kind in kinds))
+
+
+# As in binary: fields that need no look at what is within them. Numbers have one byte less than they might, for
+# the last one can hold too many bits; those, and ids that are no steps, are looked at one by one.
+RUN: Final = re.compile(
+    b"(?:"
+    + b"|".join((
+        _headers(TRUE, FALSE),
+        _headers(I32) + b"[\x80-\xff]{0,3}+[\0-\x7f]",
+        _headers(BINARY) + b"(?:%s)" % SHORT,
+        _headers(I64) + b"[\x80-\xff]{0,8}+[\0-\x7f]",
+        _headers(DOUBLE) + b".{8}",
+        _headers(I16) + b"[\x80-\xff]?+[\0-\x7f]",
+        _headers(BYTE) + b".",
+        _headers(UUID) + b".{16}",
+    ))
+    + b")*+",
+    re.DOTALL,
+)  # fmt: skip
+
+
 def varint(frame: bytes, at: int, bits: int) -> tuple[int, int]:
     """An unsigned number of at most so many bits, and where it ends."""
     value = shift = 0
@@ -46,6 +72,10 @@
     """The bytes of an unsigned number."""
     if value < 0x80:
         return bytes((value,))
+    if value < 0x4000:
+        return bytes((value & 0x7F | 0x80, value >> 7))
+    if value < 0x200000:
+        return bytes((value & 0x7F | 0x80, value >> 7 & 0x7F | 0x80, value >> 14))
     out = bytearray()
     while value >= 0x80:
         out.append(value & 0x7F | 0x80)
@@ -105,6 +135,8 @@
         element, count, at = container(frame, at)
         if fixed := FIXED.get(element):
             return at + fixed * count  # `container` has seen that so much is there
+        if element == STRUCT and count:
+            return _skip_structs(frame, at, count, depth + 2)
         for _ in range(count):
             at = skip(frame, at, element, depth + 1)
         return at
@@ -116,11 +148,22 @@
     raise Malformed(f"type {kind} is not known")
 
 
+def _skip_structs(frame: bytes, at: int, count: int, depth: int) -> int:
+    """Where so many structs end; `depth` is that within them."""
+    if depth > MAX_DEPTH:
+        raise Malformed(f"more than {MAX_DEPTH} levels within each other")
+    for _ in range(count):
+        at = skip_struct(frame, at, depth)
+    return at
+
+
 def skip_struct(frame: bytes, at: int, depth: int = 0) -> int:
     """Where a struct ends, its stop included."""
-    last = 0
     while True:
-        kind, last, at = field(frame, at, last)
+        run = RUN.match(frame, at)
+        if run is not None:
+            at = run.end()
+        kind, _, at = field(frame, at, 0)  # which field it is matters to nobody here
         if not kind:
             return at
         if kind > FALSE:
--- a/eiderhub/protocols/thrift/convert.py
+++ b/eiderhub/protocols/thrift/convert.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from struct import Struct
+from struct import error as struct_error
 
 from eiderhub.protocols.thrift import binary, compact
 from eiderhub.protocols.thrift.wire import MAX_DEPTH, Encoding, Header, Malformed, T
@@ -27,12 +29,13 @@
     T.UUID: compact.UUID,
 }
 TO_BINARY: dict[int, int] = {theirs: ours for ours, theirs in TO_COMPACT.items()} | {compact.FALSE: T.BOOL}
-# By type: how many bytes a number has, how it is read, and how it is written.
+# By type: how many bytes a number has, and how it is read; and fields of the most common types, header and value.
 NUMBERS: dict[int, tuple[int, Callable[[bytes, int], tuple[int]]]] = {
     T.I16: (2, binary.I16.unpack_from),
     T.I32: (4, binary.I32.unpack_from),
     T.I64: (8, binary.I64.unpack_from),
 }
+I32_FIELD, I64_FIELD, STRING_FIELD = Struct(">Bhi"), Struct(">Bhq"), Struct(">BhI")
 PACKERS: dict[int, Callable[[int], bytes]] = {
     compact.I16: binary.I16.pack,
     compact.I32: binary.I32.pack,
@@ -48,12 +51,15 @@
     """
     if header.encoding is to:
         return with_seqid(message, header, seqid)
-    if to is Encoding.COMPACT:
-        out = bytearray(compact.write_header(header.kind, header.name, seqid))
-        end = _struct_to_compact(message, header.body_at, out, 1)
-    else:
-        out = bytearray(binary.write_header(header.kind, header.name, seqid))
-        end = _struct_to_binary(message, header.body_at, out, 1)
+    try:
+        if to is Encoding.COMPACT:
+            out = bytearray(compact.write_header(header.kind, header.name, seqid))
+            end = _struct_to_compact(message, header.body_at, out, 1)
+        else:
+            out = bytearray(binary.write_header(header.kind, header.name, seqid))
+            end = _struct_to_binary(message, header.body_at, out, 1)
+    except (IndexError, struct_error) as error:  # read past the end; strings are held against it
+        raise Malformed("a value that ends past its frame") from error
     if end != len(message):
         raise Malformed("bytes behind the message's end")
     return bytes(out)
@@ -71,42 +77,70 @@
 
 
 def _struct_to_compact(frame: bytes, at: int, out: bytearray, depth: int) -> int:
+    """Long on purpose: it meets each field of each message, and a call for each would double what a field costs."""
     last = 0
     size = len(frame)
-    unpack_id = binary.I16.unpack_from
+    append, read_i32, read_i64 = out.append, I32_FIELD.unpack_from, I64_FIELD.unpack_from
+    read_string = STRING_FIELD.unpack_from
     while True:
-        if at >= size:
-            raise Malformed("a struct without its stop")
         kind = frame[at]
         if not kind:
-            out.append(0)
+            append(0)
             return at + 1
-        if at + 3 > size:
-            raise Malformed("a field that ends in its header")
-        number: int = unpack_id(frame, at + 1)[0]
+        if kind == T.STRING:
+            _, number, length = read_string(frame, at)
+            at += 7
+            end = at + length
+            if end > size:
+                raise Malformed("a string that ends past its frame")
+            last = _header(number, last, compact.BINARY, out)
+            if length < 0x80:
+                append(length)
+            else:
+                out += compact.put_varint(length)
+            out += frame[at:end]
+            at = end
+            continue
+        if kind == T.I32 or kind == T.I64:
+            if kind == T.I32:
+                _, number, value = read_i32(frame, at)
+                at += 7
+            else:
+                _, number, value = read_i64(frame, at)
+                at += 11
+            last = _header(number, last, compact.I32 if kind == T.I32 else compact.I64, out)
+            unsigned = value << 1 ^ value >> 63
+            if unsigned < 0x80:
+                append(unsigned)
+            else:
+                out += compact.put_varint(unsigned)
+            continue
+        (number,) = binary.I16.unpack_from(frame, at + 1)
         at += 3
         if kind == T.BOOL:
-            theirs = _flag(frame, at)
+            last = _header(number, last, _flag(frame, at), out)
             at += 1
-        else:
-            theirs = TO_COMPACT.get(kind, 0)
-            if not theirs:
-                raise Malformed(f"type {kind} is not known")
-        step = number - last
-        if 0 < step < 16:
-            out.append(step << 4 | theirs)
-        else:
-            out.append(theirs)
-            out += compact.put_zigzag(number)
-        last = number
-        if kind != T.BOOL:
-            at = _to_compact(frame, at, kind, out, depth)
+            continue
+        theirs = TO_COMPACT.get(kind, 0)
+        if not theirs:
+            raise Malformed(f"type {kind} is not known")
+        last = _header(number, last, theirs, out)
+        at = _to_compact(frame, at, kind, out, depth)
+
+
+def _header(number: int, last: int, theirs: int, out: bytearray) -> int:
+    """A field's header: its id as a step from the last one's, where it is a small one. The id, for the next."""
+    step = number - last
+    if 0 < step < 16:
+        out.append(step << 4 | theirs)
+    else:
+        out.append(theirs)
+        out += compact.put_zigzag(number)
+    return number
 
 
 def _flag(frame: bytes, at: int) -> int:
     """How a bool is told in compact, as a field's type and as an element alike."""
-    if at >= len(frame):
-        raise Malformed("a value that ends past its frame")
     if frame[at] > 1:
         raise Malformed("a bool that is neither 0 nor 1")
     return compact.TRUE if frame[at] else compact.FALSE
@@ -182,22 +216,52 @@
 
 
 def _struct_to_binary(frame: bytes, at: int, out: bytearray, depth: int) -> int:
+    """Long on purpose, as its counterpart is."""
     last = 0
-    pack_id = binary.I16.pack
+    size = len(frame)
+    append, pack_i32, pack_string = out.append, I32_FIELD.pack, STRING_FIELD.pack
     while True:
-        kind, last, at = compact.field(frame, at, last)
-        if not kind:
-            out.append(0)
+        byte = frame[at]
+        kind, step = byte & 0x0F, byte >> 4
+        if step and kind:
+            at += 1
+            last += step
+            if last > 0x7FFF:
+                raise Malformed("a field id of more than 16 bits")
+        else:
+            kind, last, at = compact.field(frame, at, last)
+        if kind == compact.BINARY:
+            length = frame[at]
+            if length < 0x80:
+                at += 1
+            else:
+                length, at = compact.varint(frame, at, 32)
+            end = at + length
+            if end > size:
+                raise Malformed("a string that ends past its frame")
+            out += pack_string(T.STRING, last, length)
+            out += frame[at:end]
+            at = end
+        elif kind == compact.I32:
+            unsigned = frame[at]
+            if unsigned < 0x80:
+                at += 1
+            else:
+                unsigned, at = compact.varint(frame, at, 32)
+            out += pack_i32(T.I32, last, unsigned >> 1 ^ -(unsigned & 1))
+        elif not kind:
+            append(0)
             return at
-        ours = TO_BINARY.get(kind)
-        if ours is None:
-            raise Malformed(f"type {kind} is not known")
-        out.append(ours)
-        out += pack_id(last)
-        if kind <= compact.FALSE:
-            out.append(kind == compact.TRUE)
         else:
-            at = _to_binary(frame, at, kind, out, depth)
+            ours = TO_BINARY.get(kind)
+            if ours is None:
+                raise Malformed(f"type {kind} is not known")
+            append(ours)
+            out += binary.I16.pack(last)
+            if kind <= compact.FALSE:
+                append(kind == compact.TRUE)
+            else:
+                at = _to_binary(frame, at, kind, out, depth)
 
 
 def _to_binary(frame: bytes, at: int, kind: int, out: bytearray, depth: int) -> int:
