--- a/eiderhub/protocols/thrift/binary.py
+++ b/eiderhub/protocols/thrift/binary.py
@@ -25,14 +25,33 @@
 # a pattern, so each length of up to 127 bytes has its branch. What the pattern does not know ends the run, and `skip`
 # looks at it.
 SHORT: Final = b"|".join(re.escape(bytes((n,))) + b".{%d}" % n for n in range(128))
-RUN: Final = re.compile(
+PLAIN: Final = (
     b"(?:[%s]..." % bytes((T.BOOL, T.BYTE))
     + b"".join(b"|\\x%02x.{%d}" % (kind, 2 + size) for kind, size in FIXED.items() if size > 1)
-    + b"|\\x%02x..\\0\\0\\0(?:%s))*+" % (T.STRING, SHORT),
-    re.DOTALL,
+    + b"|\\x%02x..\\0\\0\\0(?:%s))*+" % (T.STRING, SHORT)
 )
 
 
+class Patterns:
+    """The patterns of an encoding, from that of a run of plain fields."""
+
+    def __init__(self, plain: bytes) -> None:
+        self.run = re.compile(plain, re.DOTALL).match
+        # Structs of plain fields alone, eight at a time as elements of a list: a list tells its count, which no pattern
+        # can read. Where eight fail they are skipped one by one, so nothing is looked at more than twice.
+        self.eight = re.compile(b"(?:%s\\0){8}" % plain, re.DOTALL).match
+
+    def structs(self, frame: bytes, at: int, count: int) -> tuple[int, int]:
+        """How many of the next structs are left, and where they begin, behind the first that are plain."""
+        while count >= 8 and (found := self.eight(frame, at)):
+            at = found.end()
+            count -= 8
+        return count, at
+
+
+PATTERNS: Final = Patterns(PLAIN)
+
+
 def read_header(frame: bytes) -> Header:
     """The header of a message, strict or as old clients send it (the name first, with no version)."""
     size = len(frame)
@@ -112,16 +131,20 @@
     """Where so many structs end; `depth` is that within them."""
     if depth > MAX_DEPTH:
         raise Malformed(f"more than {MAX_DEPTH} levels within each other")
-    for _ in range(count):
-        at = skip_struct(frame, at, depth)
+    while count:
+        count, at = PATTERNS.structs(frame, at, count)
+        for _ in range(min(count, 8)):
+            at = skip_struct(frame, at, depth)
+            count -= 1
     return at
 
 
 def skip_struct(frame: bytes, at: int, depth: int = 0) -> int:
     """Where a struct ends, its stop included."""
     size = len(frame)
+    run_of = PATTERNS.run
     while True:
-        run = RUN.match(frame, at)
+        run = run_of(frame, at)
         if run is not None:
             at = run.end()
         if at >= size:
--- a/eiderhub/protocols/thrift/compact.py
+++ b/eiderhub/protocols/thrift/compact.py
@@ -6,7 +6,7 @@
 from struct import Struct
 from typing import Final
 
-from eiderhub.protocols.thrift.binary import SHORT
+from eiderhub.protocols.thrift.binary import SHORT, Patterns
 from eiderhub.protocols.thrift.wire import MAX_DEPTH, MAX_NAME, Encoding, Header, Kind, Malformed
 
 PROTOCOL: Final = 0x82
@@ -26,7 +26,7 @@
 
 # As in binary: fields that need no look at what is within them. Numbers have one byte less than they might, for
 # the last one can hold too many bits; those, and ids that are no steps, are looked at one by one.
-RUN: Final = re.compile(
+PATTERNS: Final = Patterns(
     b"(?:"
     + b"|".join((
         _headers(TRUE, FALSE),
@@ -38,15 +38,16 @@
         _headers(BYTE) + b".",
         _headers(UUID) + b".{16}",
     ))
-    + b")*+",
-    re.DOTALL,
+    + b")*+"
 )  # fmt: skip
 
 
 def varint(frame: bytes, at: int, bits: int) -> tuple[int, int]:
     """An unsigned number of at most so many bits, and where it ends."""
-    value = shift = 0
     size = len(frame)
+    if at < size and frame[at] < 0x80:
+        return frame[at], at + 1
+    value = shift = 0
     while True:
         if at >= size:
             raise Malformed("a number that ends past its frame")
@@ -152,15 +153,19 @@
     """Where so many structs end; `depth` is that within them."""
     if depth > MAX_DEPTH:
         raise Malformed(f"more than {MAX_DEPTH} levels within each other")
-    for _ in range(count):
-        at = skip_struct(frame, at, depth)
+    while count:
+        count, at = PATTERNS.structs(frame, at, count)
+        for _ in range(min(count, 8)):
+            at = skip_struct(frame, at, depth)
+            count -= 1
     return at
 
 
 def skip_struct(frame: bytes, at: int, depth: int = 0) -> int:
     """Where a struct ends, its stop included."""
+    run_of = PATTERNS.run
     while True:
-        run = RUN.match(frame, at)
+        run = run_of(frame, at)
         if run is not None:
             at = run.end()
         kind, _, at = field(frame, at, 0)  # which field it is matters to nobody here
