--- a/eiderhub/cli.py
+++ b/eiderhub/cli.py
@@ -1,4 +1,4 @@
-"""One command, `eiderhub`: the sidecar, the configuration tool and the demonstration."""
+"""One command, `eiderhub`: the sidecar, the configuration tool, membership's and the demonstration."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
   config explain FILE... --request R  say which route takes a request, and what may be done with it
   config diff OLD NEW                 say what would behave differently, and what needs a restart
   config keys                         list the keys of the operator's file
+  members FILE                        say what a sidecar would believe, from recorded answers of its sources
   demo [--seconds N]                  run a sidecar against stand-ins and show what it serves
 
 eiderhub COMMAND --help tells more.
@@ -34,6 +35,10 @@
         from eiderhub.config.command import main as config
 
         return config(rest)
+    if command == "members":
+        from eiderhub.membership.command import main as members
+
+        return members(rest)
     if command == "demo":
         return _demo(rest)
     wanted = command in ("-h", "--help")
--- /dev/null
+++ b/eiderhub/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where endpoints come from: sources that tell lists, and how several are joined into one picture."""
--- /dev/null
+++ b/eiderhub/membership/consul/health.py
@@ -0,0 +1,142 @@
+"""What an answer of Consul's `/v1/health/service/:name` says of endpoints: pure, bytes in, endpoints out.
+
+Strict about what a send depends on (address, port, checks), tolerant of the rest. An instance that can't be used is
+left out with its reason, and takes no other with it; an answer that can't be read is no answer, and changes nothing.
+
+Source: Consul's HTTP API, "Health", "List Service Instances for Service".
+"""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+from typing import NamedTuple
+
+import msgspec
+
+from eiderhub.interface import Endpoint, Readiness
+from eiderhub.membership.listing import Listed
+from eiderhub.sidecar.clock import UNIX_OFFSET_US
+
+NODE_MAINTENANCE = "_node_maintenance"
+SERVICE_MAINTENANCE = "_service_maintenance"
+
+
+class Meaning(NamedTuple):
+    """Where a site's Consul tells what lists tell: keys of a service's `Meta`, then of its node's."""
+
+    zone: str = "zone"
+    kind: str = "kind"
+    cell: str = "cell"
+    started_ms: str = "started_ms"  # Unix time
+    warning: Readiness = Readiness.READY  # what a check with a warning makes of its service
+
+
+class _Check(msgspec.Struct, rename="pascal"):
+    status: str
+    check_id: str = msgspec.field(name="CheckID", default="")
+
+
+class _Node(msgspec.Struct, rename="pascal"):
+    node: str
+    address: str = ""
+    meta: dict[str, str] | None = None
+
+
+class _Weights(msgspec.Struct, rename="pascal"):
+    passing: int = 1
+    warning: int = 1
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    id: str = msgspec.field(name="ID")
+    port: int
+    address: str = ""
+    tags: list[str] | None = None
+    meta: dict[str, str] | None = None
+    weights: _Weights | None = None
+
+
+class _Instance(msgspec.Struct, rename="pascal"):
+    node: _Node
+    service: _Service
+    checks: list[_Check]
+
+
+_DECODER = msgspec.json.Decoder(list[_Instance] | None)
+
+
+class Answer(NamedTuple):
+    entries: list[Listed]
+    refused: list[str]  # instances that were left out, each with its reason
+
+
+def read_health(body: bytes, meaning: Meaning) -> Answer:
+    """Raises ValueError where the body is no such answer: whoever asked keeps what it had."""
+    try:
+        instances = _DECODER.decode(body) or []
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(f"no answer of the health API: {error}") from None
+    entries, refused = [], []
+    for instance in instances:
+        try:
+            entries.append(_listed(instance, meaning))
+        except ValueError as error:
+            refused.append(f"{instance.node.node}/{instance.service.id}: {error}")
+    return Answer(entries, refused)
+
+
+def _listed(instance: _Instance, meaning: Meaning) -> Listed:
+    service, node = instance.service, instance.node
+    meta = {**(node.meta or {}), **(service.meta or {})}
+    host = _address(service.address or node.address)
+    if not 1 <= service.port <= 65535:
+        raise ValueError(f"port {service.port} can't be sent to")
+    readiness, warned = _readiness(instance.checks, meaning)
+    weights = service.weights or _Weights()
+    weight = weights.warning if warned else weights.passing
+    started_ms = _number(meta, meaning.started_ms)
+    labels = {f"{name}={value}" for name, value in meta.items()} | {f"tag={tag}" for tag in service.tags or ()}
+    endpoint = Endpoint(
+        # Ids of services are unique on a node alone.
+        id=f"{node.node}/{service.id}",
+        zone=meta.get(meaning.zone, ""),
+        kind=meta.get(meaning.kind, ""),
+        cell=_number(meta, meaning.cell, -1),
+        readiness=readiness,
+        weight=float(weight) if weight > 0 else 1.0,
+        launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
+        labels=frozenset(labels),
+    )
+    return Listed(endpoint, host, service.port)
+
+
+def _address(told: str) -> str:
+    try:
+        return str(ip_address(told))
+    except ValueError:
+        raise ValueError(f"{told!r} is no IP address, and names are not looked up") from None
+
+
+def _readiness(checks: list[_Check], meaning: Meaning) -> tuple[Readiness, bool]:
+    """What all checks together make of an instance, its node's among them, and whether one has a warning.
+
+    Consul's worst check counts. A state that is not known is taken for the worst.
+    """
+    warned = False
+    for check in checks:
+        if check.check_id.startswith((NODE_MAINTENANCE, SERVICE_MAINTENANCE)):
+            return Readiness.DRAINING, warned
+        if check.status == "warning":
+            warned = True
+        elif check.status != "passing":
+            return Readiness.DRAINING, warned
+    return (meaning.warning if warned else Readiness.READY), warned
+
+
+def _number(meta: dict[str, str], key: str, missing: int = 0) -> int:
+    told = meta.get(key)
+    if told is None:
+        return missing
+    if not told.isascii() or not told.isdigit() or len(told) > 15:
+        raise ValueError(f"{key}: {told[:20]!r} is no number")
+    return int(told)
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 from eiderhub.interface import Settings
+from eiderhub.membership.listing import Listing, read_listing
 from eiderhub.routing.plan import Plan
 from eiderhub.settings import settings_from
 from eiderhub.sidecar.bounds import Bounds
-from eiderhub.sidecar.discovery import Listing, read_listing
 
 SOCKETS, MEMORY_MB = 1024, 192  # where the configuration states no limit
 
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -7,12 +7,11 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
 
-from eiderhub.interface import Endpoint, ListForm, Readiness
+from eiderhub.interface import ListForm
+from eiderhub.membership.listing import Listed, Listing, read_listing
 from eiderhub.protocols.http1.client import Connection, Response
 from eiderhub.sidecar.bounds import Budget
-from eiderhub.sidecar.clock import UNIX_OFFSET_US
 
 MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
 WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
@@ -22,58 +21,6 @@
 log = logging.getLogger(__name__)
 
 
-class Listed(NamedTuple):
-    """One entry: the endpoint as the module knows it, and where it listens."""
-
-    endpoint: Endpoint
-    host: str
-    port: int
-
-
-class Listing(NamedTuple):
-    generation: int
-    whole: bool
-    entries: list[Listed]
-
-
-def _labels(metadata: Any) -> frozenset[str]:
-    """What a list says of an endpoint beside the platform's own fields, for the pools that routes name."""
-    if metadata is None:
-        return frozenset()
-    return frozenset(f"{name}={value}" for name, value in metadata.items())
-
-
-def _entry(row: Any) -> Listed:
-    host, _, port = row["hostPort"].rpartition(":")
-    started_ms = int(row.get("startedAtMs") or 0)
-    weight = float(row.get("weight") or 1.0)
-    endpoint = Endpoint(
-        id=str(row["instanceId"]),
-        zone=str(row.get("zone") or ""),
-        kind=str(row.get("machineType") or ""),
-        cell=int(row["cell"]) if row.get("cell") is not None else -1,
-        readiness=Readiness(row["lifecycle"]),
-        weight=weight if weight > 0 else 1.0,
-        # 0 stands for long ago; the module's clock is monotonic, so a start may lie before its zero.
-        launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
-        labels=_labels(row.get("metadata")),
-    )
-    if not host:
-        raise ValueError("hostPort")
-    return Listed(endpoint, host, int(port))
-
-
-def read_listing(document: Any) -> Listing:
-    """Read a list in discovery's form."""
-    if document is None:  # a sidecar that never had one
-        return Listing(0, True, [])
-    try:
-        entries = [_entry(row) for row in document["instances"]]
-        return Listing(int(document["generation"]), bool(document["reset"]), entries)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise ValueError(f"no list of endpoints ({type(error).__name__}: {error})") from None
-
-
 class Watcher:
     """Keeps one watch open while it is on; a failure ends it, and the module decides when to ask again."""
 
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -14,11 +14,12 @@
 
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.membership.listing import Listed
 from eiderhub.routing.plan import plain
 from eiderhub.sidecar.bounds import ANSWER_MARGIN_US, Budget
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
-from eiderhub.sidecar.discovery import Listed, Watcher
+from eiderhub.sidecar.discovery import Watcher
 from eiderhub.sidecar.seam import SENT, Caller, Failure, Payload, Reply
 from eiderhub.sidecar.upstream import Attempt, Upstream
 
--- a/tests/conformance/worlds.py
+++ b/tests/conformance/worlds.py
@@ -8,10 +8,10 @@
 from typing import Any, Protocol
 
 from eiderhub.interface import ListForm
+from eiderhub.membership.listing import read_listing
 from eiderhub.protocols.thrift.answers import LOAD_SHEDDING
 from eiderhub.protocols.thrift.plan import Options
 from eiderhub.protocols.thrift.wire import Encoding
-from eiderhub.sidecar.discovery import read_listing
 from tests.sidecar_support import Asked, Client, Fake, Sidecar, row
 from tests.thrift.peers import SHED, AskedThrift, ThriftClient, ThriftFake
 
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -15,6 +15,7 @@
 
 import uvloop
 
+from eiderhub.membership.listing import read_listing
 from eiderhub.protocols.http1.server import Server
 from eiderhub.protocols.thrift import server as thrift_server
 from eiderhub.protocols.thrift.plan import Options
@@ -23,7 +24,6 @@
 from eiderhub.sidecar.bounds import Bounds
 from eiderhub.sidecar.callers import Callers
 from eiderhub.sidecar.config import Address, Config
-from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
 from standins.discovery import listing, row
 from standins.http import Message, answer, read_message
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -9,10 +9,10 @@
 import pytest
 
 from eiderhub.interface import ListForm
+from eiderhub.membership.listing import read_listing
 from eiderhub.protocols.http1.client import Connection
 from eiderhub.protocols.http1.server import CallerConnection
 from eiderhub.sidecar.clock import Alarm
-from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
 from eiderhub.sidecar.upstream import Attempt, Pool
 from tests.sidecar_support import Fake, Sidecar, row, run
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,12 +14,12 @@
 import pytest
 
 from eiderhub.interface import ListForm, Readiness
+from eiderhub.membership.listing import read_listing
 from eiderhub.protocols.http1.client import Exchange, Response
 from eiderhub.protocols.http1.server import FAILURES
 from eiderhub.sidecar import __main__ as entry
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar.clock import Alarm, now_us
-from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
 from eiderhub.sidecar.seam import Failure
 from tests.sidecar_support import (
