Consul's health API is a source of endpoints beside the platform's list

Some socios register bodega in Consul. [consul] in the operator's file names agents and services; each service is asked by blocking queries, one at a time, with the index checked, paced against hot loops, another agent after anything that is no answer (no leader, too old, 403, 429, 500, cut, too long, bad gzip), and a token read from its file for each question. What it says is joined with the platform's list by the merger: the most cautious word wins. Off, nothing of it is imported (test), and a reload that changes it is refused. The asking moved out of the platform's watch into Asker, which both use. Tests play each of these against a stand-in (standins/consul.py) and count sends outside: none to what is critical, gone or in maintenance after the pools heard.

--- a/eiderhub/config/load.py
+++ b/eiderhub/config/load.py
@@ -90,7 +90,7 @@
         environ = {key: value for key, value in ANYWHERE.items() if key[3:].lower() not in raw}
     try:
         config = config_from(raw, environ)
-        return dataclasses.replace(config, plan=make_plan(pair, config), thrift=_thrift(pair))
+        return dataclasses.replace(config, plan=make_plan(pair, config), thrift=_thrift(pair), consul=_consul(pair))
     except (ConfigError, ValueError) as error:
         pair.sidecar.error("start", str(error), "No sidecar starts from it", "Mend it")
         return None
@@ -112,6 +112,14 @@
     return options.listener(pair.tables)
 
 
+def _consul(pair: Pair) -> Any:
+    if "consul" not in pair.tables:
+        return None
+    from eiderhub.membership.consul import options  # off where the file says nothing of it
+
+    return options.source(pair.tables)
+
+
 def checked(environ: Mapping[str, str], operator: str | None) -> Config:
     """The configuration for a start or a reload. Raises `ConfigError` with the first error that was found."""
     path = environ.get("GW_CONFIG")
@@ -131,7 +139,7 @@
 def needs_restart(old: Config, new: Config) -> list[str]:
     """What a running sidecar can't take up: only discovery, the routes and their pools may change while it runs."""
     changed = [
-        key for key in ("name", "listen", "bounds", "thrift") if getattr(old, key) != getattr(new, key)
+        key for key in ("name", "listen", "bounds", "thrift", "consul") if getattr(old, key) != getattr(new, key)
     ]
     for field in dataclasses.fields(old.settings):
         if getattr(old.settings, field.name) != getattr(new.settings, field.name):
--- a/eiderhub/config/operator.py
+++ b/eiderhub/config/operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from contextlib import suppress
 from importlib import import_module
 from typing import Any, Protocol
 
@@ -18,6 +19,7 @@
     "pools": "eiderhub.routing.options",
     "routing": "eiderhub.routing.options",
     "routes": "eiderhub.routing.options",
+    "consul": "eiderhub.membership.consul.options",
     "thrift": "eiderhub.protocols.thrift.options",
 }
 
@@ -42,7 +44,17 @@
                 "unknown-key", "the table is not known", "What it says would not be done", did_you_mean(name, OWNERS)
             )
             continue
-        read = owner(name).TABLES[name].read(value, spot / name)
+        try:
+            kind = owner(name).TABLES[name]
+        except ModuleNotFoundError as error:  # of an extra of the package: eiderhub[consul]
+            (spot / name).error(
+                "not-installed",
+                f"the table needs {error.name}, which is not installed",
+                "No sidecar starts from it",
+                f"Install eiderhub[{name}], or leave the table out",
+            )
+            continue
+        read = kind.read(value, spot / name)
         if read is not BAD:
             tables[name] = read
     return tables
@@ -51,4 +63,5 @@
 def owners_of(document: dict[str, Any]) -> Iterator[Owner]:
     """The owners of a file's tables, each once."""
     for module in sorted({OWNERS[name] for name in document if name in OWNERS}):
-        yield import_module(module)
+        with suppress(ModuleNotFoundError):  # told where its table was read
+            yield import_module(module)
--- a/eiderhub/membership/command.py
+++ b/eiderhub/membership/command.py
@@ -6,8 +6,8 @@
     {"at_ms": 1796169600250, "source": "consul", "body": []}
     {"at_ms": 1796169631000, "source": "consul"}
 
-`at_ms` is Unix time, as endpoints' starts are; times are printed from the first line on. `source` is `platform` (a list
-in the platform's form) or `consul`, with a name behind a colon where there are several (`consul:bodega`); a line without
+`at_ms` is Unix time, as endpoints' starts are; times are printed from the first line on. `source` is `platform` (its
+own form of a list) or `consul`, with a name behind a colon where there are several (`consul:bodega`). A line without
 `body` says that the source answered and nothing was new.
 """
 
--- a/eiderhub/membership/consul/health.py
+++ b/eiderhub/membership/consul/health.py
@@ -49,6 +49,7 @@
 
 class _Service(msgspec.Struct, rename="pascal"):
     id: str = msgspec.field(name="ID")
+    service: str
     port: int
     address: str = ""
     tags: list[str] | None = None
@@ -95,7 +96,8 @@
     weights = service.weights or _Weights()
     weight = weights.warning if warned else weights.passing
     started_ms = _number(meta, meaning.started_ms)
-    labels = {f"{name}={value}" for name, value in meta.items()} | {f"tag={tag}" for tag in service.tags or ()}
+    facts = {"service": service.service, **meta}
+    labels = {f"{name}={value}" for name, value in facts.items()} | {f"tag={tag}" for tag in service.tags or ()}
     endpoint = Endpoint(
         # Ids of services are unique on a node alone.
         id=f"{node.node}/{service.id}",
--- /dev/null
+++ b/eiderhub/membership/joined.py
@@ -0,0 +1,71 @@
+"""Joins the platform's list with other sources before the host hears of either: the thin edge of the merger."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from eiderhub.interface import ListForm
+from eiderhub.membership.listing import Listed
+from eiderhub.membership.merger import Merger, Step, Terms
+from eiderhub.sidecar.clock import Alarm, now_us
+
+PLATFORM = "platform"
+Deliver = Callable[[ListForm, list[Listed]], None]
+log = logging.getLogger(__name__)
+
+
+class Joined:
+    """What sources tell goes in; what has changed in the one picture of them goes on, at once."""
+
+    def __init__(self, others: Iterable[Terms], deliver: Deliver) -> None:
+        self.merger = Merger([Terms(PLATFORM, 0), *others])  # the platform's caution never expires
+        self.deliver = deliver
+        self._alarm: Alarm | None = None
+
+    def platform(self, form: ListForm, entries: list[Listed]) -> None:
+        """A list or a change of the platform's. The module learns of each answer, also of one without a change."""
+        if form is ListForm.FAILED:
+            self.deliver(form, entries)
+            return
+        whole = form is not ListForm.DELTA
+        step = self.merger.tell(PLATFORM, now_us(), whole, entries)
+        self._told(form, step, list(self.merger.picture.values()) if whole else step.changes)
+
+    def told(self, source: str, entries: list[Listed]) -> None:
+        """All that another source lists now."""
+        step = self.merger.tell(source, now_us(), True, entries)
+        if step.changes or step.notes:
+            self._told(ListForm.DELTA, step, step.changes)
+        else:
+            self._watch()
+
+    def _told(self, form: ListForm, step: Step, entries: list[Listed]) -> None:
+        for note in step.notes:
+            log.warning("sources disagree: %s", note)
+        self.deliver(form, entries)
+        self._watch()
+
+    def _watch(self) -> None:
+        """Ring when a word of caution ends, if that may change anything."""
+        if self._alarm is not None:
+            self._alarm.cancel()
+        due_us = self.merger.due_us(now_us())
+        self._alarm = None if due_us is None else Alarm(due_us, self._expire)
+
+    def _expire(self) -> None:
+        step = self.merger.tick(now_us())
+        if step.changes:
+            self._told(ListForm.DELTA, step, step.changes)
+        else:
+            self._watch()
+
+
+def join_consul(options: Any, host: Any) -> Any:
+    """Put Consul beside the platform's list, before a host that has not started yet; what is to be started then."""
+    from eiderhub.membership.consul.client import Consul
+
+    joined = Joined([Terms(f"consul:{service}", options.caution_us) for service in options.services], host.on_list)
+    host.heard = joined.platform
+    return Consul(options, lambda service, entries: joined.told(f"consul:{service}", entries))
--- a/eiderhub/protocols/thrift/options.py
+++ b/eiderhub/protocols/thrift/options.py
@@ -28,6 +28,7 @@
     Named,
     Several,
     Size,
+    SocketAddress,
     Table,
     Text,
     wrong,
@@ -40,21 +41,6 @@
 FIELDS = (TENANT, KEY, REQUEST_ID, DEADLINE, COST)
 
 
-@dataclass(frozen=True)
-class ListenAddress:
-    words: str = 'an address such as "127.0.0.1:9090"'
-
-    def read(self, value: object, spot: Spot) -> Any:
-        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-        try:
-            ip_address(host.strip("[]"))
-        except ValueError:
-            return wrong(spot, value, self.words, "address")
-        if not (port.isascii() and port.isdigit()) or int(port) > 65535:
-            return wrong(spot, value, self.words, "address")
-        return host.strip("[]"), int(port)
-
-
 @dataclass(frozen=True)
 class FieldPath:
     words: str = 'field ids with dots between them, such as "1.3": field 3 of argument 1'
@@ -73,7 +59,7 @@
 TABLES: dict[str, Kind] = {
     "thrift": Table(
         (
-            Key("listen", ListenAddress(), "where callers that speak framed Thrift connect"),
+            Key("listen", SocketAddress(), "where callers that speak framed Thrift connect"),
             Key("endpoints", Choice(ENCODINGS), "the encoding that endpoints speak; `stated`: by their label `thrift`",
                 AS_ASKED),
             Key("frame", Size(64, 1 << 24), "the largest frame, either way", MAX_FRAME),
--- a/eiderhub/schema/kinds.py
+++ b/eiderhub/schema/kinds.py
@@ -11,6 +11,7 @@
 import re
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from typing import Any, Final, Protocol
 
 from eiderhub.schema.findings import Spot
@@ -172,6 +173,24 @@
     return amount if low <= amount <= high else wrong(spot, value, words, "range")
 
 
+@dataclass(frozen=True)
+class SocketAddress:
+    """An IP address and a port; no name, for nothing looks names up."""
+
+    least: int = 0  # port
+    words: str = 'an address such as "127.0.0.1:9090"'
+
+    def read(self, value: object, spot: Spot) -> Any:
+        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+        try:
+            ip_address(host.strip("[]"))
+        except ValueError:
+            return wrong(spot, value, self.words, "address")
+        if not (port.isascii() and port.isdigit()) or not self.least <= int(port) <= 65535:
+            return wrong(spot, value, self.words, "address")
+        return host.strip("[]"), int(port)
+
+
 @dataclass(frozen=True)
 class Several:
     """One value or a list of them."""
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -153,7 +153,14 @@
     listeners = [server.listener]
     if config.thrift is not None:
         listeners.append(await thrift_port(config, host, callers))
+    consul = None
+    if config.consul is not None:
+        from eiderhub.membership.joined import join_consul  # off where the operator's file says nothing of it
+
+        consul = join_consul(config.consul, host)
     host.start()
+    if consul is not None:
+        consul.start()
     chores = (host.upstream.sweep(), callers.watch(), watch_lag())
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
@@ -165,6 +172,8 @@
     log.info("%s serves on %s:%d", config.name, config.listen.host, port_of(server.listener))
     await stop.wait()
     await drain(listeners, callers, host)
+    if consul is not None:
+        consul.stop()
     for task in background:
         task.cancel()
 
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -37,6 +37,7 @@
     known: Listing
     settings: Settings
     plan: Plan | None = None  # routes; None: the first part of the path is the class
+    consul: Any = None  # the options of Consul as a source of endpoints, where the operator's file asks for it
     thrift: Any = None  # the options of a port for Thrift, where the operator's file asks for one
 
 
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -9,14 +9,12 @@
 from collections.abc import Callable
 
 from eiderhub.interface import ListForm
+from eiderhub.membership.asker import Asker
 from eiderhub.membership.listing import Listed, Listing, read_listing
-from eiderhub.protocols.http1.client import Connection, Response
-from eiderhub.sidecar.bounds import Budget
 
 MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
 WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
 PATIENCE_S = 2.0  # and may be late by so much, as may a call that does not wait: then it counts as told
-CONNECT_S = 2.0
 BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
 
@@ -39,8 +37,7 @@
         self.deliver = deliver
         self.moved = False  # the address is new and has told nothing yet
         self._task: asyncio.Task[None] | None = None
-        self._connection: Connection | None = None
-        self._answer: asyncio.Future[Response] | None = None
+        self._asker = Asker(MAX_LIST)
 
     def turn(self, on: bool) -> None:
         if on and self._task is None:
@@ -48,7 +45,7 @@
         elif not on and self._task is not None:
             self._task.cancel()
             self._task = None
-            self._hang_up()  # its answer would come in for the next watch
+            self._asker.hang_up()  # its answer would come in for the next watch
 
     def move(self, host: str, port: int) -> None:
         """Watch at another address; the last list stays in use until that has told all of its own.
@@ -68,7 +65,7 @@
                 listing = await self._ask()
             except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery: %s: %s", type(error).__name__, error)
-                self._hang_up()
+                self._asker.hang_up()
                 # A reload is done once the new address has told its list: no longer back-off may stand above.
                 if not self.persist and not self.moved:
                     self._task = None
@@ -83,32 +80,11 @@
             self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
 
     async def _ask(self) -> Listing:
-        loop = asyncio.get_running_loop()
-        if self._connection is None or self._connection.lost:
-            fresh = Connection(self, Budget(MAX_LIST), MAX_LIST)
-            async with asyncio.timeout(CONNECT_S):
-                await loop.create_connection(lambda: fresh, self.host, self.port)
-            self._connection = fresh
-        self._answer = loop.create_future()
         path, wait_ms = "/discovery/hosts", 0
         if not self.moved:
             path, wait_ms = f"{path}?after={self.generation}&wait_ms={WAIT_MS}", WAIT_MS
-        self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S):
-            response = await self._answer
+        request = f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode()
+        response = await self._asker.ask(self.host, self.port, request, wait_ms / 1000 + PATIENCE_S)
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
         return read_listing(json.loads(response.body))
-
-    def _hang_up(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
-
-    def on_response(self, link: Connection, attempt: object, response: Response, reusable: bool) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_result(response)
-
-    def on_lost(self, link: Connection) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_exception(ConnectionResetError("the connection ended"))
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -75,6 +75,7 @@
             config.bounds.endpoints,
             self.budget,
         )
+        self.heard = self.on_list  # what hears lists: the host, or what joins them with those of other sources
         self.watcher = self._watcher(config) if config.discovery else None
         self.balancer = Balancer(settings, config.seed, self)
         self.known = config.known
@@ -86,13 +87,13 @@
             config.discovery.port,
             config.known.generation,
             self.settings.discovery is Discovery.PUSH,
-            self.on_list,
+            lambda form, entries: self.heard(form, entries),
         )
 
     def start(self) -> None:
         """Start the module on the list that was known last, which is in use until discovery answers."""
         self.balancer.start(now_us())
-        self.on_list(ListForm.CACHED, self.known.entries)
+        self.heard(ListForm.CACHED, self.known.entries)
         if self.settings.discovery is Discovery.PUSH:
             self.tail(True)
 
--- /dev/null
+++ b/tests/membership/test_client.py
@@ -0,0 +1,231 @@
+"""A sidecar with Consul beside its list, against a stand-in that plays what goes wrong; sends are counted outside."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+import json
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from eiderhub.interface import ListForm, Readiness
+from eiderhub.membership.consul.client import Consul as Client
+from eiderhub.membership.consul.query import Options
+from eiderhub.membership.joined import join_consul
+from eiderhub.membership.listing import Listed, read_listing
+from standins.consul import Consul, instance
+from standins.http import answer
+from standins.program import running
+from tests.sidecar_support import SETUP, Fake, Sidecar, row, run
+from tests.sidecar_support import Client as Caller
+
+
+def options(*agents: Consul, **changes: Any) -> Options:
+    addresses = tuple((a.address.rpartition(":")[0], int(a.address.rpartition(":")[2])) for a in agents)
+    return Options(addresses, ("web",), **changes)
+
+
+@asynccontextmanager
+async def asking(*agents: Consul, **changes: Any) -> AsyncIterator[asyncio.Queue[list[Listed]]]:
+    """A client on its own, and what it tells."""
+    told: asyncio.Queue[list[Listed]] = asyncio.Queue()
+    client = Client(options(*agents, **changes), lambda _, entries: told.put_nowait(entries))
+    client.start()
+    try:
+        yield told
+    finally:
+        client.stop()
+        for agent in agents:
+            agent.stop()
+
+
+def ports(entries: list[Listed]) -> list[int]:
+    return sorted(entry.port for entry in entries)
+
+
+def test_changes_are_told_as_they_come_and_one_question_is_out_at_a_time() -> None:
+    async def test() -> None:
+        agent = await Consul().start()
+        agent.set("web", instance("web", "10.0.0.1:80"))
+        async with asking(agent) as told:
+            assert ports(await told.get()) == [80]
+            for port in (81, 82):
+                agent.set("web", instance("web", f"10.0.0.1:{port}"))
+                assert ports(await told.get()) == [port]
+            assert len(agent.questions) - len(agent.told_at) <= 1
+            assert "index=2" in agent.questions[1]
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        answer(500, b"No cluster leader"),
+        answer(429, b"Your IP is issuing too many concurrent connections"),
+        answer(200, b"[]", "X-Consul-Index: 9", "X-Consul-KnownLeader: false"),
+        answer(200, b'[{"Node"', "X-Consul-Index: 9"),
+        answer(200, b"\x1f\x8b cut", "X-Consul-Index: 9", "Content-Encoding: gzip"),
+        answer(200, gzip.compress(b" " * 200_000), "X-Consul-Index: 9", "Content-Encoding: gzip"),
+        answer(200, b"[]", "X-Consul-Index: 9", "Content-Encoding: br"),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 104857600\r\nX-Consul-Index: 9\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Consul-Index: 9\r\n\r\n[]",
+    ],
+)
+def test_what_is_no_answer_changes_nothing_and_the_other_agent_is_asked(bad: bytes) -> None:
+    async def test() -> None:
+        first, second = await Consul().start(), await Consul().start()
+        for agent in (first, second):
+            agent.set("web", instance("web", "10.0.0.1:80"))
+        async with asking(first, second, most=65_536) as told:
+            await told.get()
+            first.say(bad)
+            assert ports(await told.get()) == [80]
+            assert len(second.questions) >= 1 and "index" not in second.questions[0]
+            assert told.empty()
+
+    run(test())
+
+
+def test_compressed_and_chunked_answers_are_read() -> None:
+    async def test() -> None:
+        agent = await Consul().start()
+        body = json.dumps([instance("web", "10.0.0.1:90")]).encode()
+        async with asking(agent) as told:
+            await told.get()
+            agent.say(answer(200, gzip.compress(body), "X-Consul-Index: 5", "Content-Encoding: gzip"))
+            assert ports(await told.get()) == [90]
+            chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:7], body[7:]))
+            agent.say(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Consul-Index: 6\r\n\r\n" + chunks + b"0\r\n\r\n"
+            )
+            assert ports(await told.get()) == [90]
+
+    run(test())
+
+
+def test_the_token_is_read_anew_and_never_logged(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        file = tmp_path / "token"
+        file.write_text("wrong-secret\n")
+        agent = await Consul().start()
+        agent.token = "right-secret"
+        agent.set("web", instance("web", "10.0.0.1:80"))
+        async with asking(agent, token_file=str(file)) as told:
+            while not agent.questions:
+                await asyncio.sleep(0.01)
+            file.unlink()  # gone for a while
+            while "FileNotFoundError" not in caplog.text:
+                await asyncio.sleep(0.01)
+            assert told.empty()
+            file.write_text("right-secret\n")
+            assert ports(await told.get()) == [80]
+        assert "403" in caplog.text and "secret" not in caplog.text
+
+    run(test())
+
+
+@asynccontextmanager
+async def joined(endpoints: int) -> AsyncIterator[tuple[Sidecar, Consul]]:
+    agent = await Consul().start()
+    async with Sidecar(endpoints) as world:
+        rows = [instance("web", fake.address) for fake in world.endpoints]
+        agent.set("web", *rows)
+        source = join_consul(options(agent), world.host)
+        known = [row(f"s-{i}", fake.address) for i, fake in enumerate(world.endpoints)]
+        listing = read_listing({"generation": 1, "reset": True, "instances": known})
+        world.host.heard(ListForm.CACHED, listing.entries)  # as at the start, which is over here
+        source.start()
+        while len(agent.questions) < 2:  # the first answer has been read
+            await asyncio.sleep(0.002)
+        try:
+            yield world, agent
+        finally:
+            source.stop()
+            agent.stop()
+
+
+@pytest.mark.parametrize("how", ["critical", "gone", "maintenance"])
+def test_nothing_new_goes_to_what_consul_holds_back_and_its_return_is_at_once(how: str) -> None:
+    """The platform goes on listing both as ready."""
+
+    async def test() -> None:
+        async with joined(2) as (world, agent):
+            first, second = world.endpoints
+            held = instance("web", first.address, "critical")
+            if how == "maintenance":
+                held = instance("web", first.address)
+                held["Checks"].append({"CheckID": "_node_maintenance", "Status": "critical"})
+            rows = [instance("web", second.address)] + ([] if how == "gone" else [held])
+            agent.set("web", *rows)
+            while "s-0" in world.host.upstream.pools:
+                await asyncio.sleep(0.002)
+            assert time.monotonic() - agent.told_at[-1] < 0.5
+            client = await world.client()
+            for _ in range(20):
+                client.send("look")
+                (await second.next()).reply()
+                assert (await client.answer()).status == 200
+            assert first.asked.empty()
+            agent.set("web", *[instance("web", fake.address) for fake in world.endpoints])
+            while "s-0" not in world.host.upstream.pools:
+                await asyncio.sleep(0.002)
+
+    run(test())
+
+
+def test_a_silent_consul_takes_nothing_away(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with joined(1) as (world, agent):
+            agent.stop()
+            while "Error" not in caplog.text:  # it has been asked again, in vain
+                await asyncio.sleep(0.01)
+            client = await world.client()
+            client.send("look")
+            (await world.endpoints[0].next()).reply()
+            assert (await client.answer()).status == 200
+
+    run(test())
+
+
+def test_the_real_program_takes_endpoints_from_consul_alone(tmp_path: Path) -> None:
+    """Its own list names nobody who listens."""
+
+    async def test() -> None:
+        fake = await Fake().start()
+        agent = await Consul().start()
+        agent.set("web", instance("web", fake.address))
+        document = {
+            "name": "n0", "seed": "8c1f", "discovery": "127.0.0.1:1", "settings": SETUP,
+            "known": {"generation": 1, "reset": True, "instances": []},
+        }  # fmt: skip
+        operator = f'[consul]\nagents = "{agent.address}"\nservices = "web"\n'
+        async with running(tmp_path, document, operator) as (_, host, port):
+            client = Caller(*await asyncio.open_connection(host, port))
+            asked = asyncio.create_task(fake.next())
+            while not asked.done():  # it is refused until Consul has told of one
+                client.send("look")
+                answered = asyncio.create_task(client.answer())
+                await asyncio.wait((asked, answered), return_when=asyncio.FIRST_COMPLETED)
+                if not asked.done():
+                    assert answered.result().status == 503
+            asked.result().reply()
+            assert (await answered).status == 200
+        agent.stop()
+
+    run(test())
+
+
+def test_what_a_check_says_reaches_the_entry() -> None:
+    async def test() -> None:
+        agent = await Consul().start()
+        agent.set("web", instance("web", "10.0.0.1:80", "critical"))
+        async with asking(agent) as told:
+            assert [entry.endpoint.readiness for entry in await told.get()] == [Readiness.DRAINING]
+
+    run(test())
--- a/tests/membership/test_consul.py
+++ b/tests/membership/test_consul.py
@@ -60,7 +60,8 @@
         3,
         "m4",
     )
-    assert (far.endpoint.zone, far.endpoint.cell, far.endpoint.labels) == ("far", -1, {"zone=far", "tag=v2"})
+    assert (far.endpoint.zone, far.endpoint.cell) == ("far", -1)
+    assert far.endpoint.labels == {"service=web", "zone=far", "tag=v2"}
 
 
 @pytest.mark.parametrize(
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -141,7 +141,7 @@
     code = (
         "import sys, eiderhub.sidecar.__main__; "
         "bad = [m for m in sys.modules if m.startswith(('eiderhub.config', 'eiderhub.schema', "
-        "'eiderhub.protocols.thrift', "
+        "'eiderhub.protocols.thrift', 'eiderhub.membership.consul', 'eiderhub.membership.merger', 'msgspec', "
         "'eiderhub.routing.options', 'eiderhub.routing.table', 'eiderhub.routing.conflicts', "
         "'tomllib', 'argparse', 'difflib', 'standins'))]; "
         "print(bad); sys.exit(bool(bad))"
