Consul may be the only source, and the conformance suite runs over it

A sidecar needs no discovery where Consul is named. An independent client library (py-consul, for tests) read the stand-in and found one fault: it took waits in milliseconds alone.

--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -411,7 +411,7 @@
             "no-endpoints",
             "neither discovery nor an endpoint is named",
             "No sidecar starts from it, unless GW_DISCOVERY names discovery",
-            "Name discovery, or endpoints under 'known'",
+            "Name discovery, endpoints under 'known', or Consul in the operator's file",
         )
     if listen and listen == document.get("discovery"):
         (root / "discovery").error(
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -72,9 +72,9 @@
     return float(value)
 
 
-def _discovery(text: object, known: Listing) -> Address | None:
-    if not text and known.entries:
-        return None  # a fixed list of endpoints
+def _discovery(text: object, elsewhere: bool) -> Address | None:
+    if not text and elsewhere:
+        return None
     return parse_address(text, "discovery")
 
 
@@ -86,8 +86,10 @@
     return config_from(_document(path), environ)
 
 
-def config_from(document: Any, environ: Mapping[str, str]) -> Config:
-    """A configuration from the decoded file. Raises `ConfigError`.
+def config_from(document: Any, environ: Mapping[str, str], elsewhere: bool = False) -> Config:
+    """A configuration from the decoded file; `elsewhere`: endpoints may come from another source alone.
+
+    Raises `ConfigError`.
 
     The variables stand above what the file says of the same, but for discovery: the file may be replaced
     while the process runs, the environment can't.
@@ -105,7 +107,10 @@
     return Config(
         name=environ.get("GW_NAME") or str(document.get("name", "")),
         listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
-        discovery=_discovery(document.get("discovery") or environ.get("GW_DISCOVERY"), known),
+        discovery=_discovery(
+            document.get("discovery") or environ.get("GW_DISCOVERY"),
+            elsewhere or bool(known.entries),  # a fixed list of endpoints
+        ),
         seed=_seed(document.get("seed")),
         bounds=Bounds.within(
             int(_limit(document, "sockets", SOCKETS)), _limit(document, "memory_mb", MEMORY_MB)
--- a/standins/consul.py
+++ b/standins/consul.py
@@ -81,7 +81,7 @@
         if not self.script and wanted >= self.index:
             changed = self._changed
             try:
-                async with asyncio.timeout(int(query["wait"][0].removesuffix("ms")) / 1000):
+                async with asyncio.timeout(_seconds(query.get("wait", ["300s"])[0])):
                     await changed.wait()
             except TimeoutError:
                 pass
@@ -97,3 +97,11 @@
             200, body, "Content-Type: application/json", f"X-Consul-Index: {told}", "X-Consul-LastContact: 0",
             "X-Consul-KnownLeader: true", *headers,
         )  # fmt: skip
+
+
+def _seconds(wait: str) -> float:
+    """A wait as Go writes one, of one unit."""
+    for unit, seconds in (("ms", 0.001), ("s", 1.0), ("m", 60.0)):
+        if wait.endswith(unit):
+            return float(wait.removesuffix(unit)) * seconds
+    raise ValueError(f"no duration: {wait!r}")
--- a/tests/conformance/test_scenarios.py
+++ b/tests/conformance/test_scenarios.py
@@ -38,7 +38,7 @@
 
 def test_with_no_endpoint_at_all_it_is_refused_at_once(protocol: str) -> None:
     async def scenario(world: World) -> None:
-        world.list("gone", "gone")
+        await world.list("gone", "gone")
         caller = await world.caller()
         caller.send("pay", deadline_ms=2500)
         assert await caller.outcome() == REFUSED
@@ -146,7 +146,7 @@
         caller, other = await world.caller(), await world.caller()
         caller.send("pay")
         drained, out = await world.runs_next()
-        world.list(*("draining" if i == drained else "ready" for i in range(2)))
+        await world.list(*("draining" if i == drained else "ready" for i in range(2)))
         for _ in range(6):
             other.send("pay")
             number, call = await world.runs_next()
@@ -163,7 +163,7 @@
     """Rule 4: 2% of its capacity here, so of forty calls one or two."""
 
     async def scenario(world: World) -> None:
-        world.list("ready", started_ms=int(time.time() * 1000))
+        await world.list("ready", started_ms=int(time.time() * 1000))
         caller = await world.caller()
         for _ in range(40):
             caller.send("pay")
--- a/tests/conformance/worlds.py
+++ b/tests/conformance/worlds.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
+from functools import partial
+from itertools import zip_longest
 from typing import Any, Protocol
 
 from eiderhub.interface import ListForm
@@ -12,6 +14,7 @@
 from eiderhub.protocols.thrift.answers import LOAD_SHEDDING
 from eiderhub.protocols.thrift.plan import Options
 from eiderhub.protocols.thrift.wire import Encoding
+from standins.consul import instance
 from tests.sidecar_support import Asked, Client, Fake, Sidecar, row
 from tests.thrift.peers import SHED, AskedThrift, ThriftClient, ThriftFake
 
@@ -92,8 +95,11 @@
     def nothing_else(self) -> bool:
         return all(fake.asked.empty() for fake in self.sidecar.endpoints)
 
-    def list(self, *states: str, started_ms: int = 0) -> None:
-        """What discovery tells of the endpoints, in their order."""
+    async def list(self, *states: str, started_ms: int = 0) -> None:
+        """What discovery tells of the endpoints, in their order; it has been heard then."""
+        if self.sidecar.consul is not None:
+            await self._list_consul(states, started_ms)
+            return
         rows = []
         for i, state in enumerate(states):
             entry = row(f"s-{i}", self.sidecar.endpoints[i].address, state)
@@ -101,6 +107,18 @@
         listing = read_listing({"generation": 9, "reset": False, "instances": rows})
         self.sidecar.host.on_list(ListForm.DELTA, listing.entries)
 
+    async def _list_consul(self, states: Sequence[str], started_ms: int) -> None:
+        assert self.sidecar.consul is not None
+        found = []
+        for state, fake in zip_longest(states, self.sidecar.endpoints):
+            # A list is whole here: what a change would leave as it is stands in it as ever.
+            meta = {"started_ms": str(started_ms)} if started_ms and state else {}
+            if state != "gone":
+                status = "critical" if state == "draining" else "passing"
+                found.append(instance("web", fake.address, status, **meta))
+        self.sidecar.consul.set("web", *found)
+        await self.sidecar.heard_consul()
+
     async def close(self, endpoint: int) -> None:
         """Nobody listens there any more."""
         fake = self.sidecar.endpoints[endpoint]
@@ -148,6 +166,7 @@
 
 WORLDS: dict[str, Callable[..., Any]] = {
     "http": http_world,
+    "http, endpoints from Consul alone": partial(http_world, consul=True),
     "binary": thrift_world(Encoding.BINARY),
     "compact": thrift_world(Encoding.COMPACT),
     "binary to compact": thrift_world(Encoding.BINARY, Encoding.COMPACT),
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -194,14 +194,12 @@
 
 
 def test_the_real_program_takes_endpoints_from_consul_alone(tmp_path: Path) -> None:
-    """Its own list names nobody who listens."""
-
     async def test() -> None:
         fake = await Fake().start()
         agent = await Consul().start()
         agent.set("web", instance("web", fake.address))
         document = {
-            "name": "n0", "seed": "8c1f", "discovery": "127.0.0.1:1", "settings": SETUP,
+            "name": "n0", "seed": "8c1f", "settings": SETUP,
             "known": {"generation": 1, "reset": True, "instances": []},
         }  # fmt: skip
         operator = f'[consul]\nagents = "{agent.address}"\nservices = "web"\n'
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -15,6 +15,8 @@
 
 import uvloop
 
+from eiderhub.membership.consul.query import Options as ConsulOptions
+from eiderhub.membership.joined import join_consul
 from eiderhub.membership.listing import read_listing
 from eiderhub.protocols.http1.server import Server
 from eiderhub.protocols.thrift import server as thrift_server
@@ -25,6 +27,7 @@
 from eiderhub.sidecar.callers import Callers
 from eiderhub.sidecar.config import Address, Config
 from eiderhub.sidecar.host import Host
+from standins.consul import Consul, instance
 from standins.discovery import listing, row
 from standins.http import Message, answer, read_message
 
@@ -179,12 +182,14 @@
         plan: Plan | None = None,
         thrift: Options | None = None,
         fake: Callable[[], Fake] | None = None,
+        consul: bool = False,
         **settings: Any,
     ) -> None:
         self.plan = plan
         self.thrift = thrift
         self.fake = fake or Fake
         self.count = endpoints
+        self.consul = Consul() if consul else None  # the only source of endpoints, then
         self.bounds = Bounds(callers, upstream, held)
         self.setup = {**SETUP, **settings}
 
@@ -196,10 +201,10 @@
         self.config = Config(
             name="n0",
             listen=Address("127.0.0.1", 0),
-            discovery=Address(host, int(port)),
+            discovery=None if self.consul else Address(host, int(port)),
             seed=7,
             bounds=self.bounds,
-            known=read_listing(json.loads(listing(1, True, *rows))),
+            known=read_listing(json.loads(listing(1, True, *([] if self.consul else rows)))),
             settings=settings_from(self.setup),
             plan=self.plan,
         )
@@ -213,7 +218,17 @@
             thrift = thrift_server.Server(self.host, self.callers, self.thrift)
             await thrift.bind()
             self.thrift_listener = thrift.listener
+        source = None
+        if self.consul is not None:
+            await self.consul.start()
+            self.consul.set("web", *[instance("web", fake.address) for fake in self.endpoints])
+            at, _, number = self.consul.address.rpartition(":")
+            source = join_consul(ConsulOptions(((at, int(number)),), ("web",)), self.host)
         self.host.start()
+        if source is not None:
+            source.start()
+            self.source = source
+            await self.heard_consul()
         if self.thrift is not None:
             await self.thrift_listener.start_serving()
             self.thrift_port = self.thrift_listener.sockets[0].getsockname()[1]
@@ -221,7 +236,16 @@
         self.port = self.server.listener.sockets[0].getsockname()[1]
         return self
 
+    async def heard_consul(self) -> None:
+        """Until all that Consul says now has been read."""
+        assert self.consul is not None
+        while not self.consul.questions or f"index={self.consul.index}&" not in self.consul.questions[-1]:
+            await asyncio.sleep(0.002)
+
     async def __aexit__(self, *_: object) -> None:
+        if self.consul is not None:
+            self.source.stop()
+            self.consul.stop()
         self.host.tail(False)
         self.sweep.cancel()
         self.watch.cancel()
