--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,174 @@
+"""What a long list from Consul costs a sidecar: from the answer to the pools, CPU, memory, and requests meanwhile.
+
+    python -m benchmarks.membership [--rounds 20]
+
+One run of the real program for each size, with a stand-in for Consul that names one live endpoint and so many others
+that are critical. Rounds with an update and rounds without follow each other in a drawn order, each with callers that
+send one request after another; the differences of their 99th percentiles and of the CPU are paired, with the interval
+that holds 95% of resampled means. From the answer to the pools is told by when the next question comes: it is asked
+once the list is in force.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from benchmarks.proxy import Subject
+from eiderhub.config.write import outcome
+from standins.consul import Consul, instance
+from standins.endpoint import Behaviour, Endpoint, Ledger
+from standins.http import answer, read_message, request
+from standins.program import running
+
+SIZES = (100, 1_000, 5_000)
+CALLERS = 4
+ROUND_S = 0.5
+RESAMPLES = 2000
+DESCRIPTION = """\
+name = "bench"
+listen = "127.0.0.1:7070"
+discovery = "127.0.0.1:1"
+rate = 50
+[machine]
+memory = "192MiB"
+descriptors = 1024
+[classes.look]
+wanted = "5s"
+give_up = "10s"
+repeat = "harmless"
+[tenants]
+acme = 1.0
+"""
+
+
+def document() -> dict[str, Any]:
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(DESCRIPTION)
+        file.flush()
+        found: dict[str, Any] = json.loads(outcome(file.name).files["bench/sidecar.json"])
+    return found
+
+
+def body(live: str, size: int, changed: int) -> bytes:
+    """One that is live, and so many others, the part of `changed` in a hundred with another weight."""
+    rows = [instance("web", live)]
+    for i in range(size - 1):
+        row = instance("web", f"10.{i >> 16 & 255}.{i >> 8 & 255}.{i & 255}:80", "critical", f"n{i}")
+        row["Service"]["Weights"]["Passing"] = 2 if i % 100 < changed else 1
+        rows.append(row)
+    return json.dumps(rows).encode()
+
+
+class Rig:
+    """One size: the program, Consul, and what was seen."""
+
+    def __init__(self, agent: Consul, subject: Subject, bodies: list[bytes]) -> None:
+        self.agent, self.subject, self.bodies = agent, subject, bodies
+        self.index = 10
+        self.applied_ms: list[float] = []
+
+    async def update(self) -> None:
+        self.index += 1
+        asked = len(self.agent.questions)
+        self.agent.say(answer(200, self.bodies[self.index % len(self.bodies)], f"X-Consul-Index: {self.index}"))
+        while len(self.agent.questions) == asked:
+            await asyncio.sleep(0.001)
+        self.applied_ms.append((time.monotonic() - self.agent.told_at[-1]) * 1e3)
+
+    async def round(self, updates: bool) -> tuple[float, float]:
+        """The 99th percentile of the latency of requests, and the CPU of the round, in milliseconds."""
+        latencies: list[float] = []
+        end = time.monotonic() + ROUND_S
+        before = self.subject.cpu_s()
+        callers = [asyncio.create_task(self._call(latencies, end)) for _ in range(CALLERS)]
+        if updates:
+            await asyncio.sleep(0.15)
+            await self.update()
+        for caller in callers:
+            await caller
+        return statistics.quantiles(latencies, n=100)[98], (self.subject.cpu_s() - before) * 1e3
+
+    async def _call(self, latencies: list[float], end: float) -> None:
+        reader, writer = await asyncio.open_connection(*self.subject.address)
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            headers = {"Host": "a", "Req-Id": f"{id(writer):x}-{number}-{self.index}", "Req-Owner": "acme"}
+            begun = time.monotonic()
+            writer.write(request("GET", "/look/item", headers | {"Req-Deadline-Ms": "5000"}))
+            message = await read_message(reader)
+            if message.status != 200:
+                raise SystemExit(f"answered {message.status}")
+            latencies.append((time.monotonic() - begun) * 1e3)
+            await asyncio.sleep(0.004)
+        writer.close()
+
+
+def memory_mb(pid: int) -> float:
+    line = next(one for one in Path(f"/proc/{pid}/status").read_text().splitlines() if one.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+async def measure(size: int, rounds: int, chance: random.Random) -> None:
+    endpoint = await Endpoint(Ledger(), Behaviour(), chance).start()
+    agent = await Consul().start()
+    agent.set("web", instance("web", endpoint.address))
+    bodies = [body(endpoint.address, size, changed) for changed in (0, 5)]
+    operator = f'[consul]\nagents = "{agent.address}"\nservices = "web"\nanswer = "16MiB"\n'
+    with tempfile.TemporaryDirectory() as folder:
+        found = {**document(), "discovery": "127.0.0.1:1"}
+        async with running(Path(folder), found, operator) as (process, host, port):
+            rig = Rig(agent, Subject(f"{size} instances", process.pid, (host, port)), bodies)
+            while not agent.told_at:
+                await asyncio.sleep(0.01)
+            small_mb = memory_mb(process.pid)
+            await asyncio.sleep(0.2)  # past the pace at which it asks
+            await rig.update()  # the first: all of them are new
+            first_ms = rig.applied_ms.pop()
+            latencies, cpu = [], []
+            for _ in range(rounds):
+                order = chance.sample((False, True), 2)
+                seen = {updates: await rig.round(updates) for updates in order}
+                latencies.append(seen[True][0] - seen[False][0])
+                cpu.append(seen[True][1] - seen[False][1])
+            print(
+                f"{size:>6} instances, {len(bodies[0]) / 1e6:5.2f} MB: first in force after {first_ms:6.1f} ms, one "
+                f"with 5% changed after {statistics.median(rig.applied_ms):6.1f} ms (worst {max(rig.applied_ms):.1f}); "
+                f"memory +{memory_mb(process.pid) - small_mb:.1f} MB; CPU of a list {interval(cpu, chance)} ms; "
+                f"99th percentile of requests {interval(latencies, chance)} ms"
+            )
+    agent.stop()
+    endpoint.stop()
+
+
+def interval(differences: list[float], chance: random.Random) -> str:
+    means = sorted(statistics.fmean(chance.choices(differences, k=len(differences))) for _ in range(RESAMPLES))
+    low, high = means[int(0.025 * RESAMPLES)], means[int(0.975 * RESAMPLES)]
+    return f"{statistics.fmean(differences):+.1f} ({low:+.1f} to {high:+.1f})"
+
+
+async def measure_all(rounds: int) -> None:
+    chance = random.Random(1)
+    for size in SIZES:
+        await measure(size, rounds, chance)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.membership", description=__doc__)
+    parser.add_argument("--rounds", type=int, default=20)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(measure_all(parser.parse_args().rounds))
+
+
+if __name__ == "__main__":
+    main()
--- a/eiderhub/membership/consul/client.py
+++ b/eiderhub/membership/consul/client.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from eiderhub.membership.asker import Asker
@@ -18,7 +18,7 @@
 
 MAX_TOKEN = 4096  # bytes
 ASIDE = 64 * 1024  # bytes of an answer that are read beside the loop: a long list would hold up every request
-Told = Callable[[str, list[Listed]], None]
+Told = Callable[[str, list[Listed]], Awaitable[None]]
 log = logging.getLogger(__name__)
 
 
@@ -64,7 +64,7 @@
         pause_us = query.answered(now_us(), response.status, headers)
         if answer.refused:
             self._complain(query.service, f"{len(answer.refused)} instances left out, such as {answer.refused[0]}")
-        self.told(query.service, answer.entries)
+        await self.told(query.service, answer.entries)
         return pause_us
 
     async def _request(self, ask: Ask) -> bytes:
--- a/eiderhub/membership/joined.py
+++ b/eiderhub/membership/joined.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from eiderhub.interface import ListForm
+from eiderhub.interface import ListForm, Readiness
 from eiderhub.membership.listing import Listed
 from eiderhub.membership.merger import Merger, Step, Terms
 from eiderhub.sidecar.clock import Alarm, now_us
 
 PLATFORM = "platform"
+SLICE = 200  # entries that are taken in without a look at what else there is to do: some 3 ms
 Deliver = Callable[[ListForm, list[Listed]], None]
 log = logging.getLogger(__name__)
 
@@ -32,20 +34,29 @@
         whole = form is not ListForm.DELTA
         step = self.merger.tell(PLATFORM, now_us(), whole, entries)
         self._told(form, step, list(self.merger.picture.values()) if whole else step.changes)
+        self._watch()
+
+    async def told(self, source: str, entries: list[Listed]) -> None:
+        """All that another source lists now.
+
+        In slices, for thousands of new entries would hold up every request. Rule 3: what is gone goes with the first
+        step, what drains with the next ones, and only then what is ready.
+        """
+        self._changed(self.merger.left_out(source, now_us(), {entry.endpoint.id for entry in entries}))
+        ordered = sorted(entries, key=lambda entry: entry.endpoint.readiness is Readiness.READY)
+        for begin in range(0, len(ordered), SLICE):
+            self._changed(self.merger.tell(source, now_us(), False, ordered[begin : begin + SLICE]))
+            await asyncio.sleep(0)
+        self._watch()
 
-    def told(self, source: str, entries: list[Listed]) -> None:
-        """All that another source lists now."""
-        step = self.merger.tell(source, now_us(), True, entries)
+    def _changed(self, step: Step) -> None:
         if step.changes or step.notes:
             self._told(ListForm.DELTA, step, step.changes)
-        else:
-            self._watch()
 
     def _told(self, form: ListForm, step: Step, entries: list[Listed]) -> None:
         for note in step.notes:
             log.warning("sources disagree: %s", note)
         self.deliver(form, entries)
-        self._watch()
 
     def _watch(self) -> None:
         """Ring when a word of caution ends, if that may change anything."""
@@ -56,10 +67,8 @@
 
     def _expire(self) -> None:
         step = self.merger.tick(now_us())
-        if step.changes:
-            self._told(ListForm.DELTA, step, step.changes)
-        else:
-            self._watch()
+        self._changed(step)
+        self._watch()
 
 
 def join_consul(options: Any, host: Any) -> Any:
--- a/eiderhub/membership/merger.py
+++ b/eiderhub/membership/merger.py
@@ -46,6 +46,9 @@
     def put(self, entry: Listed, now_us: int) -> Iterator[Address]:
         """Take one entry in; the addresses of which this source now says something else."""
         name, address = entry.endpoint.id, (entry.host, entry.port)
+        here = self.at.get(address)
+        if here is not None and here.get(name) == entry:
+            return  # as before: what most entries of a long list are
         if entry.endpoint.readiness is Readiness.GONE:
             yield from self.drop(name, now_us)
             return
@@ -104,14 +107,26 @@
         told = list(entries)
         touched: dict[Address, None] = {}
         if whole:
-            for name in teller.where.keys() - {entry.endpoint.id for entry in told}:
-                touched.update(dict.fromkeys(teller.drop(name, now_us)))
+            touched = self._missing(teller, now_us, {entry.endpoint.id for entry in told})
         for entry in told:
             touched.update(dict.fromkeys(teller.put(entry, now_us)))
         # Having spoken, it stands by its caution again.
         touched.update(dict.fromkeys(address for address in self._parted if teller.says(address) is not None))
         return self._settle(touched, now_us)
 
+    def left_out(self, source: str, now_us: int, names: set[str]) -> Step:
+        """A whole list has come that holds these ids, to be told in parts: what it leaves out is gone already now."""
+        teller = self._sources[source]
+        teller.heard_us = now_us
+        return self._settle(self._missing(teller, now_us, names), now_us)
+
+    @staticmethod
+    def _missing(teller: _Source, now_us: int, names: set[str]) -> dict[Address, None]:
+        touched: dict[Address, None] = {}
+        for name in teller.where.keys() - names:
+            touched.update(dict.fromkeys(teller.drop(name, now_us)))
+        return touched
+
     def heard(self, source: str, now_us: int) -> Step:
         """A source has answered that nothing is new: its words stand. Raises KeyError for no source."""
         return self.tell(source, now_us, False, ())
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -34,7 +34,7 @@
 async def asking(*agents: Consul, **changes: Any) -> AsyncIterator[asyncio.Queue[list[Listed]]]:
     """A client on its own, and what it tells."""
     told: asyncio.Queue[list[Listed]] = asyncio.Queue()
-    client = Client(options(*agents, **changes), lambda _, entries: told.put_nowait(entries))
+    client = Client(options(*agents, **changes), lambda _, entries: told.put(entries))
     client.start()
     try:
         yield told
