Consul's catalogue as a source, for services that have no checks

api = "catalogue" asks /v1/catalog/service/:name: whatever is registered is ready, what it leaves out is gone. The stand-in serves the catalogue's flat form, which py-consul reads.

--- a/eiderhub/membership/consul/client.py
+++ b/eiderhub/membership/consul/client.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from eiderhub.membership.asker import Asker
-from eiderhub.membership.consul.health import Answer, read_health
+from eiderhub.membership.consul.health import Answer, read_catalogue, read_health
 from eiderhub.membership.consul.query import Ask, Options, Query
 from eiderhub.membership.listing import Listed
 from eiderhub.protocols.http1.client import Response
@@ -84,7 +84,8 @@
             body = _unzipped(body, self.options.most)
         elif coding not in ("", "identity"):
             raise ValueError(f"an answer coded as {coding[:20]!r}")
-        return read_health(body, self.options.meaning)
+        read = read_catalogue if self.options.catalogue else read_health
+        return read(body, self.options.meaning)
 
     def _complain(self, service: str, text: str) -> None:
         if text and self._complaints.get(service) != text:
--- a/eiderhub/membership/consul/health.py
+++ b/eiderhub/membership/consul/health.py
@@ -1,9 +1,11 @@
-"""What an answer of Consul's `/v1/health/service/:name` says of endpoints: pure, bytes in, endpoints out.
+"""What Consul's answers say of endpoints: pure, bytes in, endpoints out.
+
+The health API's, `/v1/health/service/:name`, and the catalogue's, `/v1/catalog/service/:name`, which tells no checks.
 
 Strict about what a send depends on (address, port, checks), tolerant of the rest. An instance that can't be used is
 left out with its reason, and takes no other with it; an answer that can't be read is no answer, and changes nothing.
 
-Source: Consul's HTTP API, "Health", "List Service Instances for Service".
+Sources: Consul's HTTP API, "Health", "List Service Instances for Service"; "Catalog", "List Nodes for Service".
 """
 
 from __future__ import annotations
@@ -63,7 +65,30 @@
     checks: list[_Check]
 
 
-_DECODER = msgspec.json.Decoder(list[_Instance] | None)
+class _Row(msgspec.Struct, rename="pascal"):
+    """The catalogue's flat form of an instance."""
+
+    node: str
+    service_id: str = msgspec.field(name="ServiceID")
+    service_name: str
+    service_port: int
+    address: str = ""
+    service_address: str = ""
+    node_meta: dict[str, str] | None = None
+    service_tags: list[str] | None = None
+    service_meta: dict[str, str] | None = None
+    service_weights: _Weights | None = None
+
+    def instance(self) -> _Instance:
+        service = _Service(
+            self.service_id, self.service_name, self.service_port, self.service_address, self.service_tags,
+            self.service_meta, self.service_weights,
+        )  # fmt: skip
+        return _Instance(_Node(self.node, self.address, self.node_meta), service, [])
+
+
+_HEALTH = msgspec.json.Decoder(list[_Instance] | None)
+_CATALOGUE = msgspec.json.Decoder(list[_Row] | None)
 
 
 class Answer(NamedTuple):
@@ -74,9 +99,22 @@
 def read_health(body: bytes, meaning: Meaning) -> Answer:
     """Raises ValueError where the body is no such answer: whoever asked keeps what it had."""
     try:
-        instances = _DECODER.decode(body) or []
+        instances = _HEALTH.decode(body) or []
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ValueError(f"no answer of the health API: {error}") from None
+    return _answer(instances, meaning)
+
+
+def read_catalogue(body: bytes, meaning: Meaning) -> Answer:
+    """The same for the catalogue: whatever is registered is ready. Raises ValueError."""
+    try:
+        rows = _CATALOGUE.decode(body) or []
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(f"no answer of the catalogue: {error}") from None
+    return _answer([row.instance() for row in rows], meaning)
+
+
+def _answer(instances: list[_Instance], meaning: Meaning) -> Answer:
     entries, refused = [], []
     for instance in instances:
         try:
--- a/eiderhub/membership/consul/options.py
+++ b/eiderhub/membership/consul/options.py
@@ -31,6 +31,7 @@
             Key("agents", Several(SocketAddress(1), 16), "agents, the first in use, the others in reserve", REQUIRED),
             Key("services", Several(NAME), "services whose instances are endpoints; each bears the label `service`",
                 REQUIRED),
+            Key("api", Choice(("health", "catalogue")), "which API is asked; the catalogue tells no checks", "health"),
             Key("mode", Choice(CONSISTENCY), "how fresh answers are", "default"),
             Key("wait", Duration(1_000_000, HOUR_US // 6), "how long an agent may hold a question", 30_000_000),
             Key("oldest", Duration(0, HOUR_US), "how old an agent's knowledge may be", 30_000_000),
@@ -69,6 +70,7 @@
         row["token-file"],
         tuple((theirs, row[ours]) for ours, theirs in SCOPE.items() if row[ours] is not None),
         tuple(row["tags"]),
+        row["api"] == "catalogue",
         Meaning(row["zone"], row["kind"], row["cell"], row["started"], Readiness(row["warning"])),
     )
 
--- a/eiderhub/membership/consul/query.py
+++ b/eiderhub/membership/consul/query.py
@@ -44,6 +44,7 @@
     token_file: str | None = None
     scope: tuple[tuple[str, str], ...] = ()  # dc, ns, partition, filter; as Consul names them
     tags: tuple[str, ...] = ()
+    catalogue: bool = False  # ask the catalogue, which knows no checks, and not the health API
     meaning: Meaning = field(default_factory=Meaning)
 
 
@@ -76,7 +77,8 @@
             words += [("index", str(self.index)), ("wait", f"{self.options.wait_us // 1000}ms")]
         mode = "" if self.options.mode == "default" else self.options.mode
         query = "&".join(part for part in (urlencode(words), mode) if part)
-        target = f"/v1/health/service/{quote(self.service, safe='')}" + (f"?{query}" if query else "")
+        where = "catalog" if self.options.catalogue else "health"
+        target = f"/v1/{where}/service/{quote(self.service, safe='')}" + (f"?{query}" if query else "")
         # Consul adds up to a sixteenth to the wait, so that not all questions end at once.
         held_us = self.options.wait_us * 17 // 16 if self.index else 0
         host, port = self.options.agents[self.agent]
--- a/standins/consul.py
+++ b/standins/consul.py
@@ -87,11 +87,12 @@
                 pass
         if self.script:
             return self.script.pop(0)
-        return self.listed(service)
+        return self.listed(service, catalogue="/catalog/" in target.path)
 
-    def listed(self, service: str, index: int | None = None, *headers: str) -> bytes:
+    def listed(self, service: str, index: int | None = None, *headers: str, catalogue: bool = False) -> bytes:
         """The answer as things stand, with another index where one is given."""
-        body = json.dumps(self.services.get(service, [])).encode()
+        rows = self.services.get(service, [])
+        body = json.dumps([_flat(row) for row in rows] if catalogue else rows).encode()
         told = self.index if index is None else index
         return answer(
             200, body, "Content-Type: application/json", f"X-Consul-Index: {told}", "X-Consul-LastContact: 0",
@@ -99,6 +100,17 @@
         )  # fmt: skip
 
 
+def _flat(row: dict[str, Any]) -> dict[str, Any]:
+    """The catalogue's form of a row."""
+    node, service = row["Node"], row["Service"]
+    return {
+        "ID": node["ID"], "Node": node["Node"], "Address": node["Address"], "Datacenter": node["Datacenter"],
+        "NodeMeta": node["Meta"], "ServiceID": service["ID"], "ServiceName": service["Service"],
+        "ServiceAddress": service["Address"], "ServicePort": service["Port"], "ServiceMeta": service["Meta"],
+        "ServiceTags": service["Tags"], "ServiceWeights": service["Weights"], "CreateIndex": 1, "ModifyIndex": 1,
+    }  # fmt: skip
+
+
 def _seconds(wait: str) -> float:
     """A wait as Go writes one, of one unit."""
     for unit, seconds in (("ms", 0.001), ("s", 1.0), ("m", 60.0)):
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -219,6 +219,21 @@
     run(test())
 
 
+def test_the_catalogue_tells_no_checks_and_what_it_leaves_out_is_gone() -> None:
+    async def test() -> None:
+        agent = await Consul().start()
+        agent.set("web", instance("web", "10.0.0.1:80", "critical", zone="b", cell="2"))
+        async with asking(agent, catalogue=True) as told:
+            (entry,) = await told.get()
+            assert (entry.host, entry.port, entry.endpoint.readiness) == ("10.0.0.1", 80, Readiness.READY)
+            assert (entry.endpoint.id, entry.endpoint.zone, entry.endpoint.cell) == ("n1/web-80", "b", 2)
+            assert agent.questions[0] == "/v1/catalog/service/web"
+            agent.set("web")
+            assert await told.get() == []
+
+    run(test())
+
+
 def test_what_a_check_says_reaches_the_entry() -> None:
     async def test() -> None:
         agent = await Consul().start()
--- a/tests/membership/test_standin.py
+++ b/tests/membership/test_standin.py
@@ -27,8 +27,10 @@
         service = rows[0]["Service"]
         assert (service["Address"], service["Port"], service["Meta"]) == ("10.0.0.1", 80, {"zone": "a"})
         assert [check["Status"] for check in rows[0]["Checks"]] == ["warning"]
+        _, flat = await asyncio.to_thread(client.catalog.service, "web")
+        assert (flat[0]["ServiceAddress"], flat[0]["ServicePort"]) == ("10.0.0.1", 80)
         waiting = asyncio.create_task(asyncio.to_thread(read, int(index)))
-        while len(agent.questions) < 2:
+        while len(agent.questions) < 3:
             await asyncio.sleep(0.005)
         assert not waiting.done()
         agent.set("web")
