--- a/eiderhub/config/command.py
+++ b/eiderhub/config/command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import json
 import sys
 from collections.abc import Iterator, Sequence
@@ -45,6 +46,7 @@
     one.add_argument("paths", nargs="+", metavar="FILE", help="files or folders: .json, and .toml beside it")
     one.add_argument("--json", action="store_true", help="findings as JSON, for machines")
     one.add_argument("--strict", action="store_true", help="warnings count as errors")
+    one.add_argument("--probe", action="store_true", help="ask the Consul agents that are named, once for each service")
     one.set_defaults(run=_check)
 
     one = commands.add_parser("explain", help="say what becomes of a request")
@@ -90,10 +92,15 @@
     status = result.status
     if options.strict and result.findings:
         status = max(status, 1)
+    probed = _probe(result) if options.probe else []
+    if not all(one.sound for one in probed):
+        status = max(status, 1)
     if options.json:
-        print(json.dumps(_as_json(result, status), indent=2))
+        print(json.dumps(_as_json(result, status) | {"probes": [one._asdict() for one in probed]}, indent=2))
         return status
     _print(result.findings)
+    for one in probed:
+        print(one)
     for reason in result.unreadable:
         print(f"can't be read: {reason}")
     errors = sum(f.severity is Severity.ERROR for f in result.findings)
@@ -101,6 +108,16 @@
     return status
 
 
+def _probe(result: Result) -> list[Any]:
+    """What the agents of each sidecar's Consul say; the same ones are asked once."""
+    wanted = {one.config.consul: None for one in result.examined if one.config and one.config.consul}
+    if not wanted:
+        return []
+    from eiderhub.membership.consul.probe import probe  # only where a file names Consul
+
+    return [one for options in wanted for one in asyncio.run(probe(options))]
+
+
 def _as_json(result: Result, status: int) -> dict[str, Any]:
     return {
         "status": status,
--- a/eiderhub/membership/consul/client.py
+++ b/eiderhub/membership/consul/client.py
@@ -13,7 +13,6 @@
 from eiderhub.membership.consul.health import Answer, read_catalogue, read_health
 from eiderhub.membership.consul.query import Ask, Options, Query
 from eiderhub.membership.listing import Listed
-from eiderhub.protocols.http1.client import Response
 from eiderhub.sidecar.clock import now_us
 
 MAX_TOKEN = 4096  # bytes
@@ -55,44 +54,51 @@
             asker.hang_up()
 
     async def _once(self, query: Query, asker: Asker) -> int:
-        ask = query.ask(now_us())
-        response = await asker.ask(ask.host, ask.port, await self._request(ask), ask.patience_us / 1e6)
-        headers = {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in response.headers}
-        if response.status != 200:
-            raise ValueError(f"answered {response.status}")
-        answer = await self._read(response, headers.get("content-encoding", ""))
-        pause_us = query.answered(now_us(), response.status, headers)
+        answer, headers = await fetch(self.options, query.ask(now_us()), asker)
+        pause_us = query.answered(now_us(), 200, headers)
         if answer.refused:
             self._complain(query.service, f"{len(answer.refused)} instances left out, such as {answer.refused[0]}")
         await self.told(query.service, answer.entries)
         return pause_us
 
-    async def _request(self, ask: Ask) -> bytes:
-        lines = [f"GET {ask.target} HTTP/1.1", f"Host: {ask.host}:{ask.port}", "Accept-Encoding: gzip"]
-        if self.options.token_file is not None:
-            token = await asyncio.to_thread(_token, Path(self.options.token_file))
-            lines.append(f"X-Consul-Token: {token}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-    async def _read(self, response: Response, coding: str) -> Answer:
-        if len(response.body) > ASIDE or coding:
-            return await asyncio.to_thread(self._decoded, response.body, coding)
-        return self._decoded(response.body, coding)
-
-    def _decoded(self, body: bytes, coding: str) -> Answer:
-        if coding == "gzip":
-            body = _unzipped(body, self.options.most)
-        elif coding not in ("", "identity"):
-            raise ValueError(f"an answer coded as {coding[:20]!r}")
-        read = read_catalogue if self.options.catalogue else read_health
-        return read(body, self.options.meaning)
-
     def _complain(self, service: str, text: str) -> None:
         if text and self._complaints.get(service) != text:
             log.warning("consul: %s: %s", service, text)
         self._complaints[service] = text
 
 
+async def fetch(options: Options, ask: Ask, asker: Asker) -> tuple[Answer, dict[str, str]]:
+    """One question's answer, and its headers by their names in small letters.
+
+    Raises ValueError for what is no answer, with the reason, and OSError or TimeoutError where none comes.
+    """
+    response = await asker.ask(ask.host, ask.port, await _request(options, ask), ask.patience_us / 1e6)
+    if response.status != 200:
+        raise ValueError(f"answered {response.status}")
+    headers = {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in response.headers}
+    coding = headers.get("content-encoding", "")
+    if len(response.body) > ASIDE or coding:
+        return await asyncio.to_thread(_decoded, options, response.body, coding), headers
+    return _decoded(options, response.body, coding), headers
+
+
+async def _request(options: Options, ask: Ask) -> bytes:
+    lines = [f"GET {ask.target} HTTP/1.1", f"Host: {ask.host}:{ask.port}", "Accept-Encoding: gzip"]
+    if options.token_file is not None:
+        token = await asyncio.to_thread(_token, Path(options.token_file))
+        lines.append(f"X-Consul-Token: {token}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def _decoded(options: Options, body: bytes, coding: str) -> Answer:
+    if coding == "gzip":
+        body = _unzipped(body, options.most)
+    elif coding not in ("", "identity"):
+        raise ValueError(f"an answer coded as {coding[:20]!r}")
+    read = read_catalogue if options.catalogue else read_health
+    return read(body, options.meaning)
+
+
 def _token(path: Path) -> str:
     """Read for each question: the file may be replaced at any time. It is never part of a message.
 
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from eiderhub.cli import main
 from eiderhub.interface import ListForm, Readiness
 from eiderhub.membership.consul.client import Consul as Client
 from eiderhub.membership.consul.query import Options
@@ -234,6 +235,31 @@
     run(test())
 
 
+def test_config_check_asks_the_agents_where_it_is_told_to(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        agent, other = await Consul().start(), await Consul().start()
+        other.token = "secret"
+        agent.set("web", instance("web", "10.0.0.1:80"), instance("web", "10.0.0.2:80", "critical"))
+        path = tmp_path / "operator.toml"
+        path.write_text(f'[consul]\nagents = ["{agent.address}", "{other.address}"]\nservices = ["web", "none"]\n')
+        document = {"name": "n0", "listen": "127.0.0.1:7070", "seed": "8c1f", "settings": SETUP}
+        (tmp_path / "sidecar.json").write_text(json.dumps(document))
+        assert await asyncio.to_thread(main, ["config", "check", str(tmp_path)]) == 0
+        assert not agent.questions
+        assert await asyncio.to_thread(main, ["config", "check", "--probe", str(tmp_path)]) == 1
+        lines = [line for line in capsys.readouterr().out.splitlines() if line.startswith("probe")]
+        assert lines == [
+            f"probe: {agent.address}: web: 2 instances, 1 of them ready",
+            f"probe: {agent.address}: none: 0 instances, 0 of them ready",
+            f"probe: {other.address}: web: ValueError: answered 403",
+            f"probe: {other.address}: none: ValueError: answered 403",
+        ]
+        agent.stop()
+        other.stop()
+
+    run(test())
+
+
 def test_what_a_check_says_reaches_the_entry() -> None:
     async def test() -> None:
         agent = await Consul().start()
