What drains is remembered until it is gone; Consul's hard cases as tests

A check that was critical for a moment cost all that the module had learned of its endpoint, for it forgot what drains as soon as nothing of it was out: found by the test of a flap. Zones come from Locality and facts from tags key=value where Meta tells none. Tests: a drain told before a retry leaves, while calls are held, while a connection comes up; a service that empties and is back; an index that stands still; a slow answer and then a flood.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -31,6 +31,7 @@
 from standins.program import running
 
 SIZES = (100, 1_000, 5_000)
+SERVICES, NODES = 20, 107
 CALLERS = 4
 ROUND_S = 0.5
 RESAMPLES = 2000
@@ -157,8 +158,39 @@
     return f"{statistics.fmean(differences):+.1f} ({low:+.1f} to {high:+.1f})"
 
 
+async def measure_services() -> None:
+    """Many services at one sidecar, from one instance each to all: time, memory, CPU of a quiet second."""
+    agent = await Consul().start()
+    names = [f"service-{i}" for i in range(SERVICES)]
+    for i, name in enumerate(names):
+        agent.set(name, instance(name, f"10.{i}.0.0:80", "passing", "n0"))
+    operator = f'[consul]\nagents = "{agent.address}"\nservices = {json.dumps(names)}\n'
+    with tempfile.TemporaryDirectory() as folder:
+        async with running(Path(folder), document(), operator) as (process, host, port):
+            subject = Subject("services", process.pid, (host, port))
+            while len(agent.questions) < 2 * SERVICES:  # each is asked for again: its list is in force
+                await asyncio.sleep(0.01)
+            small_mb = memory_mb(process.pid)
+            asked, begun = len(agent.questions), time.monotonic()
+            for i, name in enumerate(names):
+                agent.set(name, *[instance(name, f"10.{i}.0.{k}:80", "passing", f"n{k}") for k in range(NODES)])
+            while len(agent.questions) < asked + SERVICES:
+                await asyncio.sleep(0.001)
+            took_ms = (time.monotonic() - begun) * 1e3
+            await asyncio.sleep(1.0)
+            cpu = subject.cpu_s()
+            await asyncio.sleep(1.0)
+            print(
+                f"{SERVICES} services of {NODES} instances: in force after {took_ms:.0f} ms, memory "
+                f"+{memory_mb(process.pid) - small_mb:.1f} MB to {memory_mb(process.pid):.1f}; CPU of a quiet second "
+                f"{(subject.cpu_s() - cpu) * 1e3:.1f} ms"
+            )
+    agent.stop()
+
+
 async def measure_all(rounds: int) -> None:
     chance = random.Random(1)
+    await measure_services()
     for size in SIZES:
         await measure(size, rounds, chance)
 
--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -464,8 +464,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "labels", "launched", "order", "pull", "ready", "slow", "unreachable", "used",
-        "weight", "zone",
+        "in_flight", "kind", "labels", "launched", "listed", "order", "pull", "ready", "slow", "unreachable",
+        "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -487,6 +487,8 @@
         self.zone, self.kind, self.cell, self.weight = entry.zone, entry.kind, entry.cell, entry.weight
         self.labels = entry.labels
         self.ready = entry.readiness is Readiness.READY
+        # What drains may be back in a moment, as where a check flaps: it is known until it is gone.
+        self.listed = entry.readiness is not Readiness.GONE
         if entry.launched_us != self.launched:  # a new process under a known id: what we knew is void
             self.launched = entry.launched_us
             self.credit = -1.0
@@ -740,7 +742,7 @@
             listed = {e.id for e in entries}
             for known in self.endpoints.values():
                 if known.id not in listed:
-                    known.ready = False
+                    known.ready = known.listed = False
         for entry in entries:
             state = self.endpoints.get(entry.id)
             if state is None:
@@ -748,7 +750,7 @@
             else:
                 state.take(entry)
         # Guards against ids that are ever new: what has left is forgotten once nothing of it is out.
-        for left in [e for e in self.endpoints.values() if not e.ready and not e.in_flight]:
+        for left in [e for e in self.endpoints.values() if not e.listed and not e.in_flight]:
             del self.endpoints[left.id]
         self._fill_pools()
         if self.queue.count:
@@ -1124,7 +1126,7 @@
             # Danger: what is cold reports idle cores since it gets less; its part would climb.
             warm = self._warmth(now_us, e) == 1.0
             e.pull.hear(load.busy, pool.limit.busy if warm else None)
-        if not e.ready and not e.in_flight and self.endpoints.get(e.id) is e:
+        if not e.listed and not e.in_flight and self.endpoints.get(e.id) is e:
             del self.endpoints[e.id]
         e.used = now_us
         if e.ready:
--- a/eiderhub/membership/consul/health.py
+++ b/eiderhub/membership/consul/health.py
@@ -24,7 +24,7 @@
 
 
 class Meaning(NamedTuple):
-    """Where a site's Consul tells what lists tell: keys of a service's `Meta`, then of its node's."""
+    """Where a site tells what lists tell: keys of a service's `Meta`, of its node's, or of tags `key=value`."""
 
     zone: str = "zone"
     kind: str = "kind"
@@ -49,6 +49,10 @@
     warning: int = 1
 
 
+class _Locality(msgspec.Struct, rename="pascal"):
+    zone: str = ""
+
+
 class _Service(msgspec.Struct, rename="pascal"):
     id: str = msgspec.field(name="ID")
     service: str
@@ -57,6 +61,7 @@
     tags: list[str] | None = None
     meta: dict[str, str] | None = None
     weights: _Weights | None = None
+    locality: _Locality | None = None
 
 
 class _Instance(msgspec.Struct, rename="pascal"):
@@ -126,7 +131,9 @@
 
 def _listed(instance: _Instance, meaning: Meaning) -> Listed:
     service, node = instance.service, instance.node
-    meta = {**(node.meta or {}), **(service.meta or {})}
+    tags = service.tags or []
+    told = dict(tag.split("=", 1) for tag in tags if "=" in tag)
+    meta = {**told, **(node.meta or {}), **(service.meta or {})}
     host = _address(service.address or node.address)
     if not 1 <= service.port <= 65535:
         raise ValueError(f"port {service.port} can't be sent to")
@@ -135,11 +142,11 @@
     weight = weights.warning if warned else weights.passing
     started_ms = _number(meta, meaning.started_ms)
     facts = {"service": service.service, **meta}
-    labels = {f"{name}={value}" for name, value in facts.items()} | {f"tag={tag}" for tag in service.tags or ()}
+    labels = {f"{name}={value}" for name, value in facts.items()} | {f"tag={tag}" for tag in tags}
     endpoint = Endpoint(
         # Ids of services are unique on a node alone.
         id=f"{node.node}/{service.id}",
-        zone=meta.get(meaning.zone, ""),
+        zone=meta.get(meaning.zone, service.locality.zone if service.locality else ""),
         kind=meta.get(meaning.kind, ""),
         cell=_number(meta, meaning.cell, -1),
         readiness=readiness,
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -16,6 +16,7 @@
 from eiderhub.cli import main
 from eiderhub.interface import ListForm, Readiness
 from eiderhub.membership.consul.client import Consul as Client
+from eiderhub.membership.consul.health import Meaning, read_health
 from eiderhub.membership.consul.query import Options
 from eiderhub.membership.joined import join_consul
 from eiderhub.membership.listing import Listed, read_listing
@@ -24,6 +25,7 @@
 from standins.program import running
 from tests.sidecar_support import SETUP, Fake, Sidecar, row, run
 from tests.sidecar_support import Client as Caller
+from tests.test_sidecar import Answers, direct
 
 
 def options(*agents: Consul, **changes: Any) -> Options:
@@ -235,6 +237,147 @@
     run(test())
 
 
+def test_an_index_that_stands_still_hides_no_change() -> None:
+    async def test() -> None:
+        agent = await Consul().start()
+        agent.set("web", instance("web", "10.0.0.1:80"))
+        async with asking(agent) as told:
+            await told.get()
+            for port in (81, 82):
+                rows = json.dumps([instance("web", f"10.0.0.1:{port}")]).encode()
+                agent.say(answer(200, rows, f"X-Consul-Index: {agent.index}"))
+                assert ports(await told.get()) == [port]
+
+    run(test())
+
+
+def test_a_service_that_empties_is_refused_at_once_and_back_at_once_and_not_cold() -> None:
+    async def test() -> None:
+        async with Sidecar(1, consul=True) as world:
+            assert world.consul is not None
+            (fake,) = world.endpoints
+            client = await world.client()
+            for _ in range(3):
+                world.consul.set("web")
+                await world.heard_consul()
+                begun = time.monotonic()
+                client.send("look")
+                assert (await client.answer()).status == 503
+                assert time.monotonic() - begun < 0.5 and fake.asked.empty()
+                world.consul.set("web", instance("web", fake.address))
+                await world.heard_consul()
+                clients = [await world.client() for _ in range(5)]
+                for one in clients:  # a cold endpoint would be sent one at the most
+                    one.send("look")
+                for _ in clients:
+                    (await fake.next()).reply()
+                assert {(await one.answer()).status for one in clients} == {200}
+
+    run(test())
+
+
+def test_the_platforms_drain_holds_against_a_ready_consul_also_when_that_falls_silent() -> None:
+    async def test() -> None:
+        async with joined(2) as (world, agent):
+            first, second = world.endpoints
+            rows = [row("s-0", first.address, "draining")]
+            listed = read_listing({"generation": 2, "reset": False, "instances": rows})
+            world.host.heard(ListForm.DELTA, listed.entries)
+            client = await world.client()
+            for silent in (False, True):
+                if silent:
+                    agent.stop()
+                for _ in range(10):
+                    client.send("look")
+                    (await second.next()).reply()
+                    assert (await client.answer()).status == 200
+            assert first.asked.empty()
+
+    run(test())
+
+
+async def drains(world: Sidecar, *held: int) -> None:
+    """Consul says that these endpoints are critical; it has been heard then."""
+    assert world.consul is not None
+    rows = [
+        instance("web", fake.address, "critical" if i in held else "passing") for i, fake in enumerate(world.endpoints)
+    ]
+    world.consul.set("web", *rows)
+    await world.heard_consul()
+
+
+def test_a_drain_told_before_a_retry_leaves_keeps_it_away() -> None:
+    async def test() -> None:
+        async with Sidecar(2, consul=True) as world:
+            client = await world.client()
+            client.send("look")
+            asked = await world.next()
+            other = 1 if world.endpoints[0].connections else 0
+            await drains(world, other)
+            asked.reset()
+            answered = asyncio.create_task(client.answer())
+            again = asyncio.create_task(world.endpoints[1 - other].next())
+            await asyncio.wait((answered, again), return_when=asyncio.FIRST_COMPLETED)
+            again.cancel()
+            assert world.endpoints[other].asked.empty()
+            answered.cancel()
+
+    run(test())
+
+
+def test_a_drain_told_while_calls_are_held_ends_them_unsent() -> None:
+    async def test() -> None:
+        async with Sidecar(1, consul=True) as world:
+            (fake,) = world.endpoints
+            clients = [await world.client() for _ in range(40)]
+            for client in clients:
+                client.send("look")
+            out = [await fake.next()]
+            await drains(world, 0)
+            while not fake.asked.empty():
+                out.append(fake.asked.get_nowait())
+            for asked in out:
+                asked.reply()
+            statuses = [(await client.answer()).status for client in clients]
+            assert statuses.count(200) == len(out) < 40 and set(statuses) == {200, 503}
+            assert fake.asked.empty()
+
+    run(test())
+
+
+def test_a_drain_told_while_a_connection_comes_up_keeps_the_request_from_it() -> None:
+    async def test() -> None:
+        async with Sidecar(1, consul=True) as world:
+            caller = Answers()
+            world.host.take(direct(caller))
+            (fake,) = world.endpoints
+            critical = read_health(json.dumps([instance("web", fake.address, "critical")]).encode(), Meaning())
+            telling = asyncio.create_task(world.source.told("web", critical.entries))
+            assert await caller.all.get() == 503
+            await telling
+            assert fake.asked.empty()
+
+    run(test())
+
+
+def test_a_flap_keeps_what_was_learned_and_a_new_start_voids_it() -> None:
+    async def test() -> None:
+        async with Sidecar(1, consul=True) as world:
+            assert world.consul is not None
+            (fake,) = world.endpoints
+            (state,) = world.host.balancer.endpoints.values()
+            learned = state.pull
+            await drains(world, 0)
+            await drains(world)
+            assert list(world.host.balancer.endpoints.values()) == [state]
+            assert state.ready and state.pull is learned
+            world.consul.set("web", instance("web", fake.address, started_ms=str(time.time_ns() // 1_000_000)))
+            await world.heard_consul()
+            assert world.host.balancer.endpoints[state.id].pull is not learned
+
+    run(test())
+
+
 def test_config_check_asks_the_agents_where_it_is_told_to(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     async def test() -> None:
         agent, other = await Consul().start(), await Consul().start()
--- a/tests/membership/test_query.py
+++ b/tests/membership/test_query.py
@@ -55,6 +55,17 @@
     assert answered(found, now + 9 * S, 8) == 0  # one that was held
 
 
+def test_a_slow_answer_and_then_a_flood_of_news_is_asked_for_ten_times_a_second_at_the_most() -> None:
+    found = query()
+    found.ask(0)
+    now = 20 * S
+    assert answered(found, now, 5) == 0
+    for index in range(6, 56):
+        found.ask(now)
+        now += answered(found, now + 1_000, index) + 1_000
+    assert now == 20 * S + 50 * PACE_US
+
+
 @pytest.mark.parametrize(
     ("status", "headers"),
     [
