The merger keeps all tags and services of an endpoint

Labels were joined by name, so of two tags, or of two services at one address, one was lost, and a pool that names it would not have had the endpoint. Facts are still told by the first source that knows them. Test fails without it.

--- a/eiderhub/membership/merger.py
+++ b/eiderhub/membership/merger.py
@@ -15,6 +15,7 @@
 
 MAX_GONE = 10_000  # addresses of which a source's "gone" is remembered; past that the oldest are forgotten
 CAUTION = {Readiness.READY: 0, Readiness.DRAINING: 1, Readiness.GONE: 2}
+MANY = ("service", "tag")  # labels of which an endpoint may have several
 Address = tuple[str, int]
 
 
@@ -188,16 +189,12 @@
         entries = [entry for here in known for entry in here.values()]
         first = entries[0]  # of the source that comes first
         old = self.picture.get(address)
-        labels: dict[str, str] = {}
-        for entry in entries:
-            for label in sorted(entry.endpoint.labels):
-                labels.setdefault(label.partition("=")[0], label)
         endpoint: Endpoint = first.endpoint._replace(
             id=old.endpoint.id if old is not None else first.endpoint.id,
             readiness=word,
             # The latest start that anyone tells: rule 4 asks for the most caution with what may be cold.
             launched_us=self._started_us(address),
-            labels=frozenset(labels.values()),
+            labels=_labels(entries),
         )
         return first._replace(endpoint=endpoint)
 
@@ -232,3 +229,14 @@
         self._parted[address] = words
         told = ", ".join(f"{name} says {word.value}" for name, word in words)
         return f"{address[0]}:{address[1]}: {told}"
+
+
+def _labels(entries: Iterable[Listed]) -> frozenset[str]:
+    """All labels, but that a fact is told by the first that knows it. An endpoint may have many tags and services."""
+    found: set[str] = set()
+    names: set[str] = set()
+    for entry in entries:
+        told = {label: label.partition("=")[0] for label in entry.endpoint.labels}
+        found |= {label for label, name in told.items() if name in MANY or name not in names}
+        names |= set(told.values())
+    return frozenset(found)
--- a/tests/membership/test_merger.py
+++ b/tests/membership/test_merger.py
@@ -121,3 +121,15 @@
     assert state(merger, 80) is DRAINING
     merger.tell("consul", 1, True, [entry("n/new", 80)])
     assert state(merger, 80) is READY
+
+
+def test_an_endpoint_keeps_all_its_tags_and_services_and_facts_are_the_first_ones() -> None:
+    def labelled(name: str, *labels: str) -> Listed:
+        found = entry(name, 80)
+        return found._replace(endpoint=found.endpoint._replace(labels=frozenset(labels)))
+
+    merger = Merger(TERMS)
+    merger.tell("consul", 0, True, [labelled("n/w", "service=web", "tag=v1", "tag=v2", "az=c")])
+    merger.tell("static", 0, True, [labelled("s", "service=admin", "az=s", "rack=4")])
+    (found,) = merger.picture.values()
+    assert found.endpoint.labels == {"service=web", "service=admin", "tag=v1", "tag=v2", "az=c", "rack=4"}
