A silent watch on discovery is opened anew before its news counts as told

Ruled out: a slow discovery (the answer came at once when asked), a send after the list was in force (none in the log). At fault: PATIENCE_S in sidecar/discovery.py and the FAILED that followed a silence.

Now (membership/pace.py, pure): a watch may be 0.4 s late; then two questions without a wait follow at once, on new connections, and only then the module's back-off. The grace is read from the settings; an agent on this machine (lists pushed) is asked several times within it, since what it gets counts at once. A list that can't be taken in no longer ends the watch for good (deliver stood outside of the try), and changes that come with an older version are not taken: the whole list is asked for.

The pure table fails for want of the module.

--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -116,8 +116,9 @@
         _optional("ColdUs", PAUSE, "an endpoint is warm after this", 10_000_000),
         _optional("ColdFrom", Number(0.001, 1), "the part of its capacity that it starts with", 0.1),
         _optional("OverloadFactor", Number(0.001, 1000), "the multiple that a cold endpoint bears", 2.0),
+        _optional("DrainGraceUs", PAUSE, "how soon news of a drain must be in force", 1_000_000),
         *(_optional(name, Anything(), "stated by the platform") for name in (
-            "AnswerSlackUs", "AskEveryUs", "DrainGraceUs", "FallUs",
+            "AnswerSlackUs", "AskEveryUs", "FallUs",
         )),
     ),
     foreign=True,
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -167,16 +167,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """Figures of the cold rule; drains are kept at once, whatever their grace."""
+    """Figures of the rules on cold endpoints and on drains, which are kept at once, whatever their grace."""
 
     cold_us: int = 10_000_000
     cold_from: float = 0.1
     overload_factor: float = 2.0
+    drain_grace_us: int = 1_000_000  # how soon news of a drain must be in force: it says how often to look for it
 
     def __post_init__(self) -> None:
         _require(self.cold_us >= 0, "cold_us", "must not be negative")
         _require(0 < self.cold_from <= 1, "cold_from", "must lie in (0, 1]")
         _require(self.overload_factor > 0, "overload_factor", "must be above 0")
+        _require(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
 
 
 @dataclass(frozen=True, slots=True)
--- a/eiderhub/membership/asker.py
+++ b/eiderhub/membership/asker.py
@@ -7,7 +7,7 @@
 from eiderhub.protocols.http1.client import Connection, Response
 from eiderhub.sidecar.bounds import Budget
 
-CONNECT_S = 2.0
+CONNECT_S = 1.0  # and no longer than the answer is waited for: a connection that does not come up is silence too
 
 
 class Asker:
@@ -26,7 +26,7 @@
             self.hang_up()
         if self._connection is None or self._connection.lost:
             fresh = Connection(self, Budget(self.most), self.most)
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(min(CONNECT_S, patience_s)):
                 await loop.create_connection(lambda: fresh, host, port)
             self._connection, self._at = fresh, (host, port)
         self._answer = loop.create_future()
--- /dev/null
+++ b/eiderhub/membership/pace.py
@@ -0,0 +1,79 @@
+"""How long each question to discovery may take, and what follows one that failed: pure.
+
+The platform's clock (a watch that falls silent says nothing of it): what it missed counts as told 6 s after the silence
+began, or 2 s after the wait that was asked for, if that is later; and the settings' grace after that nothing new may go
+to what drains. So silence has to be noticed, and the list asked for again with time for a slow answer, within that.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
+LATE_S = 0.4  # how late the answer of a watch may be: the rest of the 2 s, and the grace, are for asking again
+CHECKS = 2  # questions that follow a silent watch at once, without a wait: each is answered or has failed
+CHECK_S = 1.0  # patience with each of those
+WHOLE_S = (1.5, 3.0)  # patience with a question for the whole list, the first time and later: it may wait in turn
+PAUSE_S = (0.25, 1.0)  # first and longest pause where the whole list is still owed: it counts 4 s after SIGHUP
+LEAST_GRACE_US = 250_000  # of the grace that questions are paced by: with less an agent would be asked without rest
+PUSHED_WAIT = 0.4  # of the grace, how long a watch of a local agent waits: what it gets counts as told at once
+PUSHED_LATE = 0.25  # of the grace, the patience with such an agent, and the pause after a failure
+
+
+class Question(NamedTuple):
+    whole: bool  # the whole list, and not what has changed since the version that is held
+    wait_ms: int
+    patience_s: float
+
+
+class Pace:
+    """What to ask next of one address; times are seconds from now."""
+
+    def __init__(self, pushed: bool, grace_us: int, rng: random.Random) -> None:
+        self.pushed = pushed  # an agent on this machine answers at once, at no cost, and nobody else asks again
+        self.grace_s = grace_us / 1e6
+        self.rng = rng
+        self.whole = False  # the address is new, or its versions are: it owes the whole list
+        self._checks = 0  # questions asked since a watch fell silent
+        self._failures = 0  # in a row
+
+    def elsewhere(self) -> Pace:
+        """For another address, of which nothing is known yet."""
+        other = Pace(self.pushed, int(self.grace_s * 1e6), self.rng)
+        other.whole = True
+        return other
+
+    def question(self) -> Question:
+        if self.whole:
+            return Question(True, 0, self._agent_s if self.pushed else WHOLE_S[min(self._failures, 1)])
+        if self.pushed:
+            wait_s = 0.0 if self._failures else PUSHED_WAIT * self.grace_s
+            return Question(False, int(wait_s * 1000), wait_s + self._agent_s)
+        if self._checks:
+            return Question(False, 0, CHECK_S)
+        return Question(False, WAIT_MS, WAIT_MS / 1000 + LATE_S)
+
+    @property
+    def _agent_s(self) -> float:
+        return PUSHED_LATE * self.grace_s
+
+    def answered(self) -> None:
+        self.whole = False
+        self._checks = self._failures = 0
+
+    def failed(self, silent: bool) -> float | None:
+        """The pause before the next question; None: the watch has ended, and when to ask again is for others to say.
+
+        Danger: all copies' watches may fall silent, or be refused, at once. Those that check ask twice each at the
+        most, and then fall back to the module's back-off.
+        """
+        self._failures += 1
+        if self.whole or self.pushed:
+            first, most = (self._agent_s / 4, self._agent_s) if self.pushed else PAUSE_S
+            return min(first * 2.0 ** min(self._failures - 1, 10), most) * self.rng.uniform(0.5, 1.5)
+        if silent and self._checks < CHECKS:
+            self._checks += 1
+            return 0.0
+        self._checks = self._failures = 0
+        return None
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -5,37 +5,34 @@
 import asyncio
 import json
 import logging
-import random
 from collections.abc import Callable
 
 from eiderhub.interface import ListForm
 from eiderhub.membership.asker import Asker
 from eiderhub.membership.listing import Listed, Listing, read_listing
+from eiderhub.membership.pace import Pace
 
 MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
-WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
-PATIENCE_S = 2.0  # and may be late by so much, as may a call that does not wait: then it counts as told
-BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
 
 
 class Watcher:
-    """Keeps one watch open while it is on; a failure ends it, and the module decides when to ask again."""
+    """Keeps one watch open while it is on. Where lists are asked for, one that fails ends, and the module decides when
+    to ask again; one that falls silent is opened anew first, for there is no time to ask it."""
 
     def __init__(
         self,
         host: str,
         port: int,
         generation: int,
-        persist: bool,
+        pace: Pace,
         deliver: Callable[[ListForm, list[Listed]], None],
     ) -> None:
         self.host = host
         self.port = port
         self.generation = generation
-        self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
+        self.pace = pace
         self.deliver = deliver
-        self.moved = False  # the address is new and has told nothing yet
         self._task: asyncio.Task[None] | None = None
         self._asker = Asker(MAX_LIST)
 
@@ -55,36 +52,41 @@
         log.info("discovery moves to %s:%d", host, port)
         self.turn(False)
         self.host, self.port = host, port
-        self.moved = True
+        self.pace = self.pace.elsewhere()
         self.turn(True)
 
     async def _run(self) -> None:
-        wait, most = BACKOFF_S
         while True:
             try:
-                listing = await self._ask()
+                self._take(await self._ask())
             except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._asker.hang_up()
-                # A reload is done once the new address has told its list: no longer back-off may stand above.
-                if not self.persist and not self.moved:
+                pause_s = self.pace.failed(isinstance(error, TimeoutError))
+                if pause_s is None:
                     self._task = None
                     self.deliver(ListForm.FAILED, [])
                     return
-                await asyncio.sleep(wait * random.uniform(0.5, 1.5))
-                wait = min(2 * wait, most)
-                continue
-            wait = BACKOFF_S[0]
-            whole = listing.whole or self.moved
-            self.generation, self.moved = listing.generation, False
-            self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
+                await asyncio.sleep(pause_s)
+
+    def _take(self, listing: Listing) -> None:
+        whole = listing.whole or self.pace.whole
+        if not whole and listing.generation < self.generation:
+            # Changes since a version that is not ours: what happened in between is told by the whole list alone.
+            log.warning("discovery: version %d after %d", listing.generation, self.generation)
+            self.pace.whole = True
+            return
+        self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
+        self.generation = listing.generation
+        self.pace.answered()
 
     async def _ask(self) -> Listing:
-        path, wait_ms = "/discovery/hosts", 0
-        if not self.moved:
-            path, wait_ms = f"{path}?after={self.generation}&wait_ms={WAIT_MS}", WAIT_MS
+        question = self.pace.question()
+        path = "/discovery/hosts"
+        if not question.whole:
+            path = f"{path}?after={self.generation}&wait_ms={question.wait_ms}"
         request = f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode()
-        response = await self._asker.ask(self.host, self.port, request, wait_ms / 1000 + PATIENCE_S)
+        response = await self._asker.ask(self.host, self.port, request, question.patience_s)
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
         return read_listing(json.loads(response.body))
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
@@ -15,6 +16,7 @@
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
 from eiderhub.membership.listing import Listed
+from eiderhub.membership.pace import LEAST_GRACE_US, Pace
 from eiderhub.routing.plan import plain
 from eiderhub.sidecar.bounds import ANSWER_MARGIN_US, Budget
 from eiderhub.sidecar.clock import Alarm, now_us
@@ -87,7 +89,11 @@
             config.discovery.host,
             config.discovery.port,
             config.known.generation,
-            self.settings.discovery is Discovery.PUSH,
+            Pace(
+                self.settings.discovery is Discovery.PUSH,
+                max(self.settings.rules.drain_grace_us, LEAST_GRACE_US),
+                random.Random(config.seed),
+            ),
             lambda form, entries: self.heard(form, entries),
         )
 
--- /dev/null
+++ b/tests/membership/test_pace.py
@@ -0,0 +1,83 @@
+"""When discovery is asked, against the platform's clock for silence: pure."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from eiderhub.membership.pace import CHECKS, WAIT_MS, Pace, Question
+
+TOLD_S = 2.0  # after the wait of a call that fell silent, what it missed counts as told
+ROUND_TRIP_S = 0.25  # a connection and an answer of a discovery that is not held up
+
+
+def pace(pushed: bool = False, grace_us: int = 1_000_000) -> Pace:
+    return Pace(pushed, grace_us, random.Random(1))
+
+
+@pytest.mark.parametrize("grace_us", [1_000_000, 500_000])
+def test_a_silent_watch_is_asked_anew_with_time_for_an_answer_and_for_another_silence(grace_us: int) -> None:
+    """Seen: the watch was given up when what it missed counted as told already, and then backed off."""
+    p = pace(grace_us=grace_us)
+    watch = p.question()
+    left_s = watch.wait_ms / 1000 + TOLD_S + grace_us / 1e6 - watch.patience_s
+    assert watch == Question(False, WAIT_MS, watch.patience_s)
+    assert p.failed(silent=True) == 0.0
+    check = p.question()
+    assert check.wait_ms == 0  # or quiet and silent would look alike once more
+    left_s -= check.patience_s
+    assert p.failed(silent=True) == 0.0
+    assert left_s - ROUND_TRIP_S > 0
+
+
+def test_checks_are_few_and_then_the_module_is_asked() -> None:
+    p = pace()
+    for _ in range(CHECKS):
+        assert p.failed(silent=True) == 0.0
+    assert p.failed(silent=True) is None
+    assert p.question().wait_ms == WAIT_MS
+
+
+def test_an_answer_ends_the_checks() -> None:
+    p = pace()
+    p.failed(silent=True)
+    p.answered()
+    assert p.question() == pace().question()
+
+
+def test_a_watch_that_is_refused_or_reset_is_left_to_the_module() -> None:
+    assert pace().failed(silent=False) is None
+
+
+def test_a_new_address_is_asked_for_the_whole_list_until_it_tells_it() -> None:
+    """What it has counts 4 s after SIGHUP: two refusals and one silence fit in before."""
+    p = pace().elsewhere()
+    spent_s = 0.0
+    for silent in (True, False, False):
+        question = p.question()
+        assert question.whole
+        pause_s = p.failed(silent)
+        assert pause_s is not None
+        spent_s += pause_s + (question.patience_s if silent else 0.0)
+    assert spent_s < 4.0
+    for _ in range(50):
+        pause_s = p.failed(silent=False)
+        assert pause_s is not None and 0.0 < pause_s <= 1.5
+    p.answered()
+    assert not p.question().whole
+
+
+@pytest.mark.parametrize("grace_us", [250_000, 500_000, 1_000_000])
+def test_an_agent_is_never_unasked_for_longer_than_the_grace(grace_us: int) -> None:
+    """What it gets counts as told at once, also when it comes back from a silence of any length."""
+    p, grace_s = pace(True, grace_us), grace_us / 1e6
+    assert p.question().patience_s < grace_s
+    for _ in range(30):
+        pause_s = p.failed(silent=True)
+        assert pause_s is not None and pause_s > 0.0
+        question = p.question()
+        assert question.wait_ms == 0
+        assert pause_s + question.patience_s < grace_s
+    p.answered()
+    assert 0 < p.question().wait_ms < grace_us / 1000
