Callers that leave are heard while they wait, and nothing is owed as a process ends

Found on 2026-12-02 by reading every path that ends something, each with a test on real sockets with the crossing forced. Causes: - protocols/http1/server.py stopped reading while requests waited behind one another, so a caller's end was not heard and all of them were sent on. It reads on now (64 KiB ahead, on the budget); where nothing is read, poll tells of the end every 0.1 s. - callers.py heard of the end of a caller only when earlier answers had left; it acts on the end itself. - __main__.drain: a closing listener reset what waited in its backlog; when the open requests were failed at the end, those behind them were sent on and lost; what was never sent on was failed, not refused; bytes of answers had a fixed 0.1 s. The listener closes with an empty backlog, host.close refuses whatever still comes, and the end waits for what is owed, 0.15 s at the most. - upstream.py: a connection came up to the address or process that an endpoint had left meanwhile, or had a request out on it, and went back among the idle ones of the new place.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1025,12 +1025,14 @@
                 continue
             if warmth < 1.0 and not self._affords(now, e, pool, warmth):
                 continue
+            # Rule 2: it may leave only once a connection has come up.
+            leaves = now + self.settings.limits.connect_timeout_us
             if call.first_run is not None and not may_resend(
                 call.grade.effect,
                 call.grade.group,
                 call.grade.dedup_window_us,
                 call.first_run,
-                now,
+                leaves,
                 (e.zone, e.cell),
             ):
                 continue
--- a/eiderhub/protocols/http1/client.py
+++ b/eiderhub/protocols/http1/client.py
@@ -14,6 +14,8 @@
 
 MAX_BODY = 64 * 1024  # bytes: more than the protocol allows is no answer
 MAX_HEAD = 16 * 1024  # bytes of a head, with all interim answers before it
+# Some endpoints answer twice, some milliseconds apart: written to sooner, a request would get the copy for its answer.
+SETTLE_US = 10_000
 
 # Headers that belong to one connection, and not to the message: RFC 9110, 7.6.1.
 HOP_BY_HOP = frozenset(
@@ -46,6 +48,8 @@
     else ends the exchange at once, and the connection with it: nobody can tell what its next bytes belong to.
     """
 
+    settle_us = SETTLE_US
+
     def __init__(self, owner: Owner, budget: Budget, max_body: int = MAX_BODY) -> None:
         super().__init__(owner)
         self.budget = budget
--- a/eiderhub/protocols/http1/server.py
+++ b/eiderhub/protocols/http1/server.py
@@ -19,6 +19,7 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 HEADER_COST = 32  # bytes that each header counts beside its own: tiny ones fill the memory with objects
+MAX_BEHIND = 64 * 1024  # bytes read behind requests that wait: read on, for a caller's end is heard by reading alone
 MAX_WAITING = 4  # requests of one caller that wait for the answer before: callers send one at a time
 MAX_DEADLINE_MS = 3_600_000
 BACKLOG = 1024
@@ -81,6 +82,7 @@
         self.waiting: list[Incoming] = []  # whole, but not yet admitted
         self.keep = True
         self.fault: Rejected | None = None
+        self._behind = bytearray()  # what came behind those
         self._body = bytearray()
         self._in_head = True
         self._head_fed = 0  # bytes of a head that has not come whole; the parser keeps what has no end yet
@@ -91,6 +93,22 @@
     def data_received(self, data: bytes) -> None:
         if self.ended or self._parser is None:
             return
+        if self.waiting:
+            self._keep_for_later(data)
+        else:
+            self._feed(data)
+
+    def _keep_for_later(self, data: bytes) -> None:
+        if not self.callers.budget.take(len(data)):
+            self.stop(Rejected(503, "no memory is left"))
+            return
+        self.held += len(data)
+        self._behind += data
+        if len(self._behind) >= MAX_BEHIND:
+            self.read(False)
+
+    def _feed(self, data: bytes) -> None:
+        assert self._parser is not None
         was_in_head = self._in_head
         try:
             self._parser.feed_data(data)
@@ -121,6 +139,7 @@
 
     def left(self) -> None:
         self.waiting.clear()
+        self._behind = bytearray()
         self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
         current, self.current = self.current, None
         if current is not None:
@@ -194,8 +213,9 @@
         """Serve what waits, once the read that brought it is parsed whole and nothing is in the way."""
         if self.waiting and self.current is None and not self.stuck and not self.lost:
             self._serve(self.waiting.pop(0))
-        if self.waiting:
-            self.read(False)
+        if self._behind and not self.waiting and not self.ended:
+            behind, self._behind = bytes(self._behind), bytearray()
+            self._feed(behind)
 
     def _serve(self, incoming: Incoming) -> None:
         self.keep = incoming.keep
@@ -220,6 +240,7 @@
     def _reject(self, fault: Rejected) -> None:
         self.keep = False
         self.waiting.clear()
+        self._behind = bytearray()
         self.ended = True
         headers = [(b"Retry-After", BUSY_WAIT)] if fault.status == 503 else []
         self.answer(fault.status, headers, f"{fault}\n".encode())
@@ -240,7 +261,7 @@
         if self.current is not None:
             self.current = None
             self._forget()
-        if not self.waiting and not self.receiving:
+        if not self.waiting and not self.receiving and not self._behind:
             self.let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
         keep = self.keep and (bool(self.waiting) or not self.callers.leaving)
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import select
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -20,9 +21,10 @@
 
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
-AFTER_LONGEST_S = 0.4  # so that everything is answered by then
+AFTER_LONGEST_S = 0.45  # so that everything is answered by then
 SERVE_SHARE = 0.75  # of that time, how long kept connections are served: the rest is for what is open then
-FLUSH_S = 0.1  # for the last bytes to leave
+FLUSH_S = 0.15  # for the last bytes to leave, at the most
+ACCEPT_TURNS = 50  # of the loop in which a listener that is to close may be found with connections waiting
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
@@ -71,15 +73,34 @@
     callers.draining = True
     await asyncio.sleep(ACCEPT_S)
     for listener in listeners:
-        listener.close()
+        await close_listener(listener)
     await asyncio.sleep(SERVE_SHARE * end - ACCEPT_S)
     callers.leaving = True
     while callers and now_us() < begun_us + int(end * 1e6):
         callers.close_idle()
         await asyncio.sleep(0.01)
-    host.fail_all()
+    host.close()
+    flushed_us = now_us() + int(FLUSH_S * 1e6)
+    await asyncio.sleep(0)  # what the last turn read is taken in, at the least once
+    while callers.owed() and now_us() < flushed_us:
+        callers.close_idle()
+        await asyncio.sleep(0.005)
     callers.close_idle()
-    await asyncio.sleep(FLUSH_S)
+    await asyncio.sleep(0.005)
+
+
+async def close_listener(listener: asyncio.Server) -> None:
+    """Close it at a moment when nothing waits in its backlog.
+
+    Rule 1: the machine has accepted those, and requests may be on them; closing resets them unseen.
+    """
+    poll = select.poll()
+    poll.register(listener.sockets[0].fileno(), select.POLLIN)
+    for _ in range(ACCEPT_TURNS):
+        if not poll.poll(0):
+            break
+        await asyncio.sleep(0)
+    listener.close()
 
 
 class Reloader:
--- a/eiderhub/sidecar/callers.py
+++ b/eiderhub/sidecar/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import select
 from typing import cast
 
@@ -14,7 +15,9 @@
 SPARE_S = 2.0  # a connection idle for so long may be closed to make room for a new one
 CHECK_S = 0.1
 TURNED_PART = 16  # one in so many connections is kept for callers that are only told that there is no room
+ARRIVING_S = 0.1  # a caller that has just connected has its first request on the way
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
+log = logging.getLogger(__name__)
 
 
 class CallerSocket(asyncio.Protocol):
@@ -26,7 +29,8 @@
         self.receiving = False
         self.since_us = now_us()  # when it connected, began what is coming in, fell idle, or ended
         self.ended = False  # nothing that still comes is read
-        self.lost = False
+        self.lost = False  # the caller has left
+        self.paused = False  # nothing is read for now, so its end would not be heard either
         self.stuck = False  # the caller does not read its answers
         self.held = 0  # bytes of bodies, against the budget
 
@@ -47,7 +51,7 @@
         raise NotImplementedError
 
     def left(self) -> None:
-        """The connection has ended: whatever was asked on it is over."""
+        """The caller has left: whatever was asked on it is over. It may be told twice."""
         raise NotImplementedError
 
     def resume(self) -> None:
@@ -62,7 +66,13 @@
         self.callers.joined(self)
 
     def eof_received(self) -> bool:
-        return False  # a caller that closes has gone away, whatever it still could read
+        """A caller that closes has gone away, whatever it still could read.
+
+        Not only with `connection_lost`: that waits until earlier answers have left, for a caller that may not read.
+        """
+        self.since_us = now_us()  # `check` counts from here
+        self._leave()
+        return False
 
     def pause_writing(self) -> None:
         """Guards against answers that pile up unread: nothing more is read until they have left."""
@@ -74,13 +84,17 @@
         asyncio.get_running_loop().call_soon(self.resume)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = self.lost = True
         self.callers.left(self)
+        self._leave()
+
+    def _leave(self) -> None:
+        self.ended = self.lost = True
         self.let_go()
         self.left()
 
     def read(self, on: bool) -> None:
         if not self.transport.is_closing():
+            self.paused = not on
             (self.transport.resume_reading if on else self.transport.pause_reading)()
 
     def let_go(self) -> None:
@@ -128,6 +142,10 @@
     def check(self, now: int) -> None:
         """Close a caller that keeps its descriptor and asks for nothing."""
         quiet_s = (now - self.since_us) / 1e6
+        if self.paused and self._polled(select.POLLRDHUP):
+            self._leave()
+            self.transport.abort()
+            return
         if self.answering:
             return
         if self.ended:
@@ -142,8 +160,14 @@
 
     def unread(self) -> bool:
         """Whether input waits in the kernel: closing now would cross a request, and that would fail."""
+        return self._polled(select.POLLIN)
+
+    def _polled(self, events: int) -> bool:
+        """Whether one of these, or an error, stands at the socket."""
+        if self.transport.is_closing():
+            return False  # its descriptor may be another's already
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        poll.register(self.transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
 
@@ -170,8 +194,9 @@
         """Take a connection in. Past the bound one is closed, so that no call ever lacks a descriptor.
 
         First one that never said anything of use, then the one idle longest, then one that is still writing
-        its first request. Where all are at work, the new one's first request is refused: a connection that
-        closes bare tells its caller nothing, and may have crossed a request. Past some of those, bare all the same.
+        its first request; never one whose request has come and is not read yet. Where all are at work, the new
+        one's first request is refused: a connection that closes bare tells its caller nothing, and may have crossed
+        a request. Past some of those, bare all the same.
         """
         if len(self.all) - len(self.turned) >= self.most - self.turning:
             victim = self._spare()
@@ -189,12 +214,14 @@
 
     def _spare(self) -> CallerSocket | None:
         for caller in self.fresh:
-            if not caller.receiving:
+            if not caller.receiving and not caller.unread():
                 return caller
-        longest = next(iter(self.idle), None)
-        if longest is not None and now_us() - longest.since_us > SPARE_S * 1e6:
-            return longest
-        return next(iter(self.fresh), None)
+        for caller in self.idle:
+            if now_us() - caller.since_us <= SPARE_S * 1e6:
+                break
+            if not caller.unread():
+                return caller
+        return next((caller for caller in self.fresh if caller.receiving), None)
 
     def left(self, caller: CallerSocket) -> None:
         for group in (self.all, self.fresh, self.idle, self.turned):
@@ -205,9 +232,22 @@
             await asyncio.sleep(CHECK_S)
             now = now_us()
             for caller in list(self.all):
-                caller.check(now)
+                try:
+                    caller.check(now)
+                except Exception:  # one caller's end must not leave all others unwatched
+                    log.exception("a caller could not be looked at")
 
     def close_idle(self) -> None:
+        """Close those between requests, but for what is on its way: a request on a new connection is not sent again."""
+        arriving_us = now_us() - int(ARRIVING_S * 1e6)
         for caller in list(self.all):
-            if not caller.busy and not caller.ended and not caller.unread():
+            if caller.busy or caller.ended or (caller in self.fresh and caller.since_us > arriving_us):
+                continue
+            if not caller.unread():
                 caller.transport.close()
+
+    def owed(self) -> bool:
+        """Whether an answer is owed, is on its way out, or is asked for by what has not been read."""
+        return any(
+            caller.answering or caller.transport.get_write_buffer_size() or caller.unread() for caller in self.all
+        )
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -25,6 +25,7 @@
 from eiderhub.sidecar.seam import SENT, Caller, Failure, Payload, Reply
 from eiderhub.sidecar.upstream import Attempt, Upstream
 
+AGENT_WAIT_US = 2_000_000  # how long a new process waits for the agent's list before it serves from the known one
 log = logging.getLogger(__name__)
 
 
@@ -70,6 +71,8 @@
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.listed = False  # whether any list has named endpoints
+        self.informed = settings.discovery is not Discovery.PUSH  # whether what an agent has need not be waited for
+        self.closing = False  # the process ends: whoever still comes is told to go elsewhere
         self.budget = Budget(config.bounds.held)  # for requests and answers alike
         self.upstream = Upstream(
             settings.limits.conn_idle_us,
@@ -109,6 +112,7 @@
         self.heard(ListForm.CACHED, self.known.entries)
         if self.settings.discovery is Discovery.PUSH:
             self.tail(True)
+            Alarm(now_us() + AGENT_WAIT_US, self._inform)  # an agent may be silent: then the known list has to do
 
     def reload(self, config: Config) -> None:
         """Take from a new configuration what may change while the process runs: routes, and where discovery is.
@@ -130,7 +134,15 @@
 
     @property
     def ready(self) -> bool:
-        return self.listed
+        """Whether callers may come.
+
+        Danger: what an agent has counts as told from the first moment of a new process, and the grace may have passed
+        by the time that it serves: no call should meet the known list alone.
+        """
+        return self.listed and self.informed
+
+    def _inform(self) -> None:
+        self.informed = True
 
     def _tell(self, event: Callable[..., None], *values: Any) -> bool:
         """Tell the module; its failure must neither end the process nor lose what it holds."""
@@ -145,6 +157,10 @@
 
     def take(self, request: Request) -> None:
         """A request has come whole: from here on one answer is owed."""
+        if self.closing:
+            request.answered = True
+            request.caller.refused(0)
+            return
         self.serial += 1
         # An id of our own: a caller that repeats one must not meet what the module still holds under it.
         call = request.call = f"{self.serial:016x}"
@@ -193,10 +209,18 @@
             attempt.drop(Outcome.TIMEOUT)
         self._abandon(request, Failure.TIME)
 
-    def fail_all(self) -> None:
-        """The process ends: what is still open is answered now."""
+    def close(self) -> None:
+        """The process ends: what is still open is answered now, and so is whatever still comes.
+
+        Rule 2: what was never sent on is refused, for another sidecar may serve it; of the rest nothing is promised.
+        """
+        self.closing = True
         for request in list(self.requests.values()):
-            self._abandon(request, Failure.TIME)
+            if any(attempt.begun for attempt in request.attempts):
+                self._abandon(request, Failure.TIME)
+            elif self._closes(request):
+                request.caller.refused(0)
+                self._tell(self.balancer.expired, request.call)
 
     # --- attempts ---
 
@@ -307,4 +331,5 @@
             else:
                 self.upstream.retire(endpoint.id)
         self.listed = self.listed or bool(entries)
+        self.informed = self.informed or form in (ListForm.FULL, ListForm.DELTA)
         self._tell(self.balancer.discovery, form, [entry.endpoint for entry in entries])
--- a/eiderhub/sidecar/seam.py
+++ b/eiderhub/sidecar/seam.py
@@ -79,6 +79,7 @@
     """
 
     wire: Wire  # the one that made it
+    settle_us = 0  # how long it rests after an answer, where the next one can't be told from a late second copy
 
     def __init__(self, owner: Owner) -> None:
         self.owner = owner
@@ -87,6 +88,8 @@
         self.written = False  # whether the last byte of what was sent has left for the kernel
         self.lost = False
         self.idle_since = 0
+        self.answered_us = 0  # when the last whole answer came on it
+        self.home: object = None  # the address and the process that it was opened to
         self.heard_us = 0  # when the last bytes of an answer that is not whole came; 0: none has begun
 
     # --- what the pools ask ---
@@ -169,8 +172,9 @@
 
     def fail(self) -> None:
         """End what is out, and the connection, for what came or did not come on it."""
-        self.close()
-        self.owner.on_lost(self)
+        if not self.lost:
+            self.close()
+            self.owner.on_lost(self)
 
 
 class Sent:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -19,12 +20,15 @@
 IDLE_US = 5_000_000  # that time, where it is not told
 SWEEP_S = 0.25  # how often idle connections, and answers that have begun, are looked at
 STALL_US = 1_000_000  # an answer that has begun is written in one go: one that stops for so long never ends
+log = logging.getLogger(__name__)
 
 
 class Attempt:
     """One try of a request at one endpoint. It ends once; `on_end` is told how."""
 
-    __slots__ = ("alarm", "connection", "data", "endpoint", "number", "on_end", "over", "sent_us", "wire")
+    __slots__ = (
+        "alarm", "begun", "connection", "data", "endpoint", "number", "on_end", "over", "sent_us", "wire",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -42,6 +46,7 @@
         self.sent_us = now_us()
         self.connection: Link | None = None
         self.alarm: Alarm | None = None
+        self.begun = False  # whether any of it may have left
         self.over = False
 
     def end(self, outcome: Outcome, reply: Reply | None = None) -> None:
@@ -74,15 +79,21 @@
         self.idle: list[Link] = []  # nothing is out on them; the most recently used last
         self.shared: list[Link] = []  # at work, with room for more
 
+    @property
+    def home(self) -> tuple[str, int, int]:
+        """Where its connections belong: what was opened to another address or process is not used again."""
+        return (self.host, self.port, self.launched_us)
+
     def take(self, wire: Wire) -> Link | None:
         """The connection used most recently, so that the others can age and go."""
+        home, now = self.home, now_us()
         for link in self.shared:
-            if link.wire is wire and link.room > 0:
+            if link.wire is wire and link.room > 0 and link.home == home:
                 return link
         idle = self.idle
         for at in range(len(idle) - 1, -1, -1):
             link = idle[at]
-            if link.wire is not wire:
+            if link.wire is not wire or now - link.answered_us < link.settle_us:
                 continue
             del idle[at]
             if not link.stale():
@@ -97,6 +108,7 @@
             self.upstream.open -= 1
 
     def write(self, attempt: Attempt, link: Link, data: Any) -> None:
+        attempt.begun = True
         link.begin(attempt, data)
         attempt.connection = link
         self.upstream.active[link] = None
@@ -111,6 +123,7 @@
             self.upstream.open -= 1
         elif not link.busy:
             self._forget(link)
+            link.answered_us = now_us()
             self.rest(link)
         if attempt is not None:
             attempt.connection = None
@@ -131,7 +144,7 @@
             self.shared.remove(link)
 
     def rest(self, link: Link) -> None:
-        if self.ready:
+        if self.ready and link.home == self.home:
             link.idle_since = now_us()
             self.idle.append(link)
         else:
@@ -175,7 +188,7 @@
             self.pools[endpoint] = Pool(self, host, port, launched_us, labels)
             return
         pool.labels = labels
-        if (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
+        if pool.home != (host, port, launched_us):
             pool.close_idle()
             pool.host, pool.port, pool.launched_us = host, port, launched_us
 
@@ -224,11 +237,14 @@
 
     async def _connect(self, attempt: Attempt, pool: Pool) -> None:
         connection = attempt.wire.at(pool.labels).link(pool, self.budget)
+        connection.home = pool.home
         try:
             # A machine that has vanished says nothing: a connection that does not come up has to be given up.
             async with asyncio.timeout(self.connect_timeout_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, pool.host, pool.port)
-        except (OSError, TimeoutError):
+        except Exception as error:  # whatever a list may name as an address: each attempt has to end
+            if not isinstance(error, OSError):
+                log.error("endpoint %s at %s:%d: %s", attempt.endpoint, pool.host, pool.port, error)
             self.open -= 1
             attempt.end(Outcome.CONNECT_FAILED)
             return
@@ -236,7 +252,8 @@
             attempt.end(Outcome.CONNECT_FAILED)
         elif attempt.over:  # given up meanwhile: the handshake is paid, the next attempt may use it
             pool.rest(connection)
-        elif not pool.ready:  # Rule 3: the drain was told while the connection came up
+        elif not pool.ready or connection.home != pool.home:
+            # Rule 3: the drain was told while the connection came up, or that the endpoint is elsewhere by now.
             pool.rest(connection)
             attempt.end(Outcome.CONNECT_FAILED)
         else:
--- /dev/null
+++ b/tests/test_ending.py
@@ -0,0 +1,256 @@
+"""What is still owed when the process, a listener or a caller's place ends: each crossing is forced."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from eiderhub.sidecar.__main__ import close_listener
+from standins.http import read_message
+from tests.sidecar_support import SETUP, Client, Sidecar, listing, program, ready, row, run
+from tests.test_sidecar import Answers, direct
+
+QUICK: list[dict[str, Any]] = [{**c, "AimUs": 200_000, "DeadlineUs": 400_000} for c in SETUP["Categories"]]
+
+
+def in_the_kernel(port: int, data: bytes = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n") -> socket.socket:
+    """A caller whose connection is up and whose request is sent, before the sidecar's loop has had a turn."""
+    sock = socket.create_connection(("127.0.0.1", port))
+    sock.sendall(data)
+    sock.setblocking(False)
+    return sock
+
+
+async def answered(sock: socket.socket) -> int:
+    reader, writer = await asyncio.open_connection(sock=sock)
+    status = (await read_message(reader)).status
+    writer.close()
+    return status
+
+
+# --- the listener ---
+
+
+def test_what_waits_in_the_backlog_when_the_listener_closes_is_taken_first() -> None:
+    """A closing listener resets what the machine has accepted and the program has not: the request would be lost."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            waiting = [in_the_kernel(sidecar.port) for _ in range(20)]
+            await close_listener(sidecar.server.listener)
+            assert [await answered(sock) for sock in waiting] == [200] * 20
+            with pytest.raises(ConnectionRefusedError):
+                in_the_kernel(sidecar.port)
+
+    run(test())
+
+
+# --- callers' places ---
+
+
+def test_a_new_caller_takes_no_place_whose_request_is_in_the_kernel() -> None:
+    """All connect and ask before one turn of the loop: past the bound the first of them was closed bare."""
+
+    async def test() -> None:
+        async with Sidecar(callers=32) as sidecar:
+            waiting = [in_the_kernel(sidecar.port) for _ in range(32)]
+            assert [await answered(sock) for sock in waiting] == [200] * 32  # two of them in the places for refusals
+
+    run(test())
+
+
+def test_an_idle_caller_gives_its_place_only_while_it_asks_for_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("eiderhub.sidecar.callers.SPARE_S", 0.0)
+
+    async def test() -> None:
+        async with Sidecar(callers=4) as sidecar:
+            kept = [await sidecar.client() for _ in range(4)]
+            for client in kept:
+                assert await ready(client) == 200
+            first = kept[0].writer.transport.get_extra_info("socket")
+            new = in_the_kernel(sidecar.port)
+            with socket.socket(fileno=socket.dup(first.fileno())) as same:  # past the loop: it is in the kernel at once
+                same.sendall(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await kept[0].answer()).status == 200
+            assert await answered(new) == 200
+            assert await kept[1].reader.read() == b""  # the one idle longest, of those that ask for nothing
+
+    run(test())
+
+
+def test_one_caller_that_cannot_be_looked_at_does_not_leave_the_others_unwatched(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("eiderhub.sidecar.callers.FIRST_S", 0.05)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            broken, silent = await sidecar.client(), await sidecar.client()
+            while len(sidecar.callers) < 2:
+                await asyncio.sleep(0)
+
+            def fail(now: int) -> None:
+                raise ValueError("no descriptor")
+
+            monkeypatch.setattr(next(iter(sidecar.callers.all)), "check", fail)
+            assert await silent.reader.read() == b""
+            broken.writer.close()
+
+    run(test())
+
+
+# --- the end of the process ---
+
+
+def test_at_the_end_what_was_never_sent_on_is_refused_and_of_the_rest_nothing_is_promised() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            sent, waits, late = await sidecar.client(), Answers(), Answers()
+            sent.send()
+            await sidecar.endpoints[0].next()
+            sidecar.host.take(direct(waits))  # its connection is still to come up
+            sidecar.host.close()
+            assert (await sent.answer()).status == 504
+            assert await waits.all.get() == 503
+            sidecar.host.take(direct(late))
+            assert await late.all.get() == 503
+            assert sidecar.endpoints[0].asked.empty()
+            assert not sidecar.host.balancer.calls
+
+    run(test())
+
+
+def test_requests_behind_one_another_all_have_an_answer_when_the_process_ends(tmp_path: Path) -> None:
+    """Seen by reading: as the first was failed at the end, the second was sent on, and the process ended on it."""
+
+    async def test() -> None:
+        async with program(tmp_path, {"settings": {**SETUP, "Categories": QUICK}}) as running:
+            client = await running.client()
+            for _ in range(4):
+                client.send(deadline_ms=30_000)
+            await running.endpoint.next()
+            running.process.send_signal(signal.SIGTERM)
+            running.process.send_signal(signal.SIGTERM)  # a second one changes nothing
+            assert [(await client.answer()).status for _ in range(4)] == [504, 503, 503, 503]
+            assert await client.reader.read() == b""
+            assert await asyncio.to_thread(running.process.wait) == 0
+            assert running.endpoint.asked.empty()
+
+    run(test())
+
+
+def test_the_end_waits_for_what_is_owed_and_for_nothing_else() -> None:
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send()
+            asked = await sidecar.endpoints[0].next()
+            assert sidecar.callers.owed()
+            asked.reply()
+            assert (await client.answer()).status == 200
+            assert not sidecar.callers.owed()
+            client.send()
+            await sidecar.endpoints[0].next()
+            assert sidecar.callers.owed()
+
+    run(test())
+
+
+def test_a_caller_that_has_just_connected_is_not_closed_before_its_request_comes() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            while not sidecar.callers:
+                await asyncio.sleep(0)
+            sidecar.callers.leaving = True
+            sidecar.callers.close_idle()
+            client.send()
+            (await sidecar.endpoints[0].next()).reply()
+            told = await client.answer()
+            assert (told.status, told.headers["connection"]) == (200, "close")
+
+    run(test())
+
+
+def test_sigterm_before_the_first_list_and_during_a_reload_ends_in_order(tmp_path: Path) -> None:
+    async def test() -> None:
+        known = json.loads(listing(1, True))
+        async with program(tmp_path, {"settings": {**SETUP, "Categories": QUICK}, "known": known}) as running:
+            client = await running.client()
+            running.process.send_signal(signal.SIGHUP)
+            running.process.send_signal(signal.SIGTERM)
+            assert await ready(client) == 503
+            client.send("look", deadline_ms=300)
+            assert (await client.answer()).status == 503
+            assert await asyncio.to_thread(running.process.wait) == 0
+
+    run(test())
+
+
+# --- the start of one ---
+
+
+def test_where_lists_are_pushed_nobody_is_asked_to_come_before_the_agents_list_is_in_force() -> None:
+    """What the agent has counts as told from the first moment, and the grace may be over when the program serves."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2, Discovery="push") as sidecar:
+            stays, goes = sidecar.endpoints
+            client = await sidecar.client()
+            assert await ready(client) == 503
+            asked = await sidecar.discovery.next()
+            asked.reply(200, listing(2, False, row("s-1", goes.address, "draining")))
+            while await ready(client) != 200:
+                pass
+            for _ in range(5):
+                client.send()
+                (await stays.next()).reply()
+                assert (await client.answer()).status == 200
+            assert goes.asked.empty()
+
+    run(test())
+
+
+def test_a_silent_agent_does_not_keep_a_new_process_from_serving(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("eiderhub.sidecar.host.AGENT_WAIT_US", 100_000)
+
+    async def test() -> None:
+        async with Sidecar(Discovery="push") as sidecar:
+            client: Client = await sidecar.client()
+            while await ready(client) != 200:
+                pass
+
+    run(test())
+
+
+# --- another customer's file ---
+
+
+@pytest.mark.parametrize("change", ["tenant renamed", "no tenants", "another effect"])
+def test_a_reload_with_another_customers_settings_is_refused_whole(change: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with program(tmp_path, {}) as running:
+            path = tmp_path / "config.json"
+            document = json.loads(path.read_text(encoding="utf-8"))
+            if change == "another effect":
+                document["settings"]["Categories"][2]["Effect"] = "idempotent"
+            else:
+                document["settings"]["Parties"] = [{"Name": "b", "Share": 1.0}] if "renamed" in change else []
+            document["discovery"] = "127.0.0.1:2"
+            path.write_text(json.dumps(document), encoding="utf-8")
+            running.process.send_signal(signal.SIGHUP)
+            line = await running.line_with("the configuration is not taken")
+            assert "a restart is needed" in line
+            client = await running.client()
+            client.send()
+            (await running.endpoint.next()).reply()
+            assert (await client.answer()).status == 200
+
+    run(test())
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,198 @@
+"""A caller that leaves while its request waits: nothing of it is sent on. Each crossing is forced."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from eiderhub.protocols.http1.server import MAX_BEHIND
+from eiderhub.sidecar.callers import CHECK_S
+from tests.sidecar_support import SETUP, Client, Fake, Sidecar, run
+from tests.test_sidecar import Answers, direct
+
+LIMIT_S = 0.3  # the users' term, from the end that the caller made to the last byte sent on for it
+
+
+def leave(client: Client, how: str) -> None:
+    sock = client.writer.transport.get_extra_info("socket")
+    if how == "half close":
+        client.writer.write_eof()
+        return
+    if how == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.writer.transport.abort() if how == "reset" else client.writer.close()
+
+
+async def called_off(fake: Fake) -> None:
+    """Until the attempt that is out has been given up, which is how an endpoint hears of it."""
+    await fake.ends.get()
+
+
+def test_callers_that_are_not_read_are_looked_at_well_within_the_term() -> None:
+    assert 2 * CHECK_S < LIMIT_S
+
+
+@pytest.mark.parametrize("behind", [1, MAX_BEHIND], ids=["one behind it", "more behind it than is read"])
+@pytest.mark.parametrize("how", ["close", "half close", "reset"])
+def test_requests_behind_another_are_not_sent_on_for_a_caller_that_has_left(how: str, behind: int) -> None:
+    """Seen: with requests in waiting nothing was read, so the end was not heard before all of them had been served."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(body=b"0")
+            await sidecar.endpoints[0].next()
+            client.send(body=b"1")
+            client.send(body=b"2")
+            await client.writer.drain()
+            for _ in range(3 if behind > 1 else 0):  # the last of them fill what is read ahead
+                await asyncio.sleep(0)
+                client.send(body=b"x" * (MAX_BEHIND // 2))
+                await client.writer.drain()
+            leave(client, how)
+            await called_off(sidecar.endpoints[0])
+            assert not sidecar.host.requests and not sidecar.host.balancer.calls
+            assert not sidecar.callers.open_ids
+            assert sidecar.host.budget.held == 0
+            assert sidecar.endpoints[0].asked.empty()
+
+    run(test())
+
+
+def test_a_burst_that_is_sent_at_once_and_gone_leaves_nothing_behind() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            clients = [await sidecar.client() for _ in range(12)]
+            for client in clients:  # all that these do is in the kernel before the sidecar's next turn
+                for _ in range(3):
+                    client.send()
+                client.writer.close()
+            other = await sidecar.client()
+            other.send(body=b"other")
+            while (asked := await sidecar.endpoints[0].next()).message.body != b"other":
+                pass
+            asked.reply()
+            assert (await other.answer()).status == 200
+            while sidecar.host.requests:
+                await asyncio.sleep(0)
+            sent = sidecar.endpoints[0].asked.qsize()
+            assert not sidecar.host.balancer.calls and not sidecar.host.balancer.queue.count
+            client = await sidecar.client()  # the room that those took is there again
+            client.send()
+            for _ in range(sent):
+                await sidecar.endpoints[0].next()
+            (await sidecar.endpoints[0].next()).reply()
+            assert (await client.answer()).status == 200
+
+    run(test())
+
+
+def test_a_caller_that_leaves_the_modules_queue_is_not_sent_on_when_there_is_room() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            fake = sidecar.endpoints[0]
+            clients = [await sidecar.client() for _ in range(30)]
+            for client in clients:
+                client.send("pay", deadline_ms=30_000)
+            out = [await fake.next()]
+            while sidecar.host.balancer.queue.count == 0 or fake.asked.qsize() + len(out) < sum(
+                request.out for request in sidecar.host.requests.values()
+            ):
+                await asyncio.sleep(0)
+            while not fake.asked.empty():
+                out.append(await fake.next())
+            held = [r for r in sidecar.host.requests.values() if not r.out]
+            assert held
+            waiting = {r.caller.transport.get_extra_info("peername") for r in held}  # type: ignore[attr-defined]
+            for client in clients:
+                if client.writer.get_extra_info("sockname") in waiting:
+                    client.writer.close()
+            while any(r in sidecar.host.requests.values() for r in held):
+                await asyncio.sleep(0)
+            assert sidecar.host.balancer.queue.count == 0
+            for asked in out:
+                asked.reply()
+            await asyncio.sleep(0.05)
+            assert fake.asked.empty()
+
+    run(test())
+
+
+def test_a_caller_that_leaves_while_a_connection_comes_up_is_not_sent_on() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            request = direct(Answers())
+            sidecar.host.take(request)
+            assert sidecar.host.upstream.open == 1 and not sidecar.endpoints[0].connections
+            sidecar.host.gone(request)
+            client = await sidecar.client()
+            client.send(body=b"next")
+            asked = await sidecar.endpoints[0].next()
+            assert asked.message.body == b"next"
+            asked.reply()
+            assert (await client.answer()).status == 200
+            assert not sidecar.host.requests and not sidecar.host.balancer.calls
+
+    run(test())
+
+
+def test_the_end_is_heard_while_an_earlier_answer_has_not_left() -> None:
+    """Seen: a transport tells of the end when it has written all, which a caller that reads nothing puts off."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", sidecar.port))
+            reader = asyncio.StreamReader()
+            transport, _ = await asyncio.get_running_loop().create_connection(
+                lambda: asyncio.StreamReaderProtocol(reader), sock=sock
+            )
+            transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            client = Client(reader, asyncio.StreamWriter(transport, asyncio.Protocol(), reader, loop))
+            held = 0
+            while not held:  # answers until one stays in the sidecar
+                client.send()
+                (await sidecar.endpoints[0].next()).reply(200, b"x" * 60_000)
+                while sidecar.host.requests:
+                    await asyncio.sleep(0)
+                (caller,) = sidecar.callers.all
+                held = caller.transport.get_write_buffer_size()
+                assert not caller.stuck  # an answer is smaller than what may be written ahead
+            client.send()
+            await sidecar.endpoints[0].next()
+            transport.write_eof()
+            await called_off(sidecar.endpoints[0])
+            assert not sidecar.host.requests
+            transport.abort()
+
+    run(test())
+
+
+def test_what_is_left_after_a_caller_has_gone_is_told_to_the_module_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with Sidecar(Allowed={**SETUP["Allowed"], "MayCancel": False}) as sidecar:
+            told: list[str] = []
+            expired = sidecar.host.balancer.expired
+
+            def tell(now: int, call: str) -> None:
+                told.append(call)
+                expired(now, call)
+
+            monkeypatch.setattr(sidecar.host.balancer, "expired", tell)
+            client = await sidecar.client()
+            client.send(deadline_ms=3000)
+            asked = await sidecar.endpoints[0].next()
+            asked.reply()  # and the end, before the sidecar has read either
+            client.writer.close()
+            while sidecar.host.requests:
+                await asyncio.sleep(0)
+            assert len(told) <= 1
+            assert not sidecar.host.balancer.calls and sidecar.host.upstream.open <= 1
+
+    run(test())
