A reload takes what a start takes, whatever its classes are called

Found on 2026-12-02 by the search for what only one customer has: SIGHUP held the platform's file to the checks of the configuration tool, which a start does not, and those know two class names of one customer with their effects (schema/declared.py). At fault: Reloader._read, which called config.load.checked without an operator's file. It reads as the start does now; needs_restart stands beside the configuration that it compares.

--- a/eiderhub/config/explain.py
+++ b/eiderhub/config/explain.py
@@ -6,12 +6,11 @@
 from typing import Any, NamedTuple
 
 from eiderhub.balancer import MAX_TRIES, MAX_TRIES_INSIDE, may_refuse, may_resend
-from eiderhub.config.load import needs_restart
 from eiderhub.interface import Effect, Group, RequestClass, Settings
 from eiderhub.routing.plan import METHOD, Plan
 from eiderhub.routing.target import Asked, Refused, segments_of
 from eiderhub.schema.units import show_duration, show_size
-from eiderhub.sidecar.config import Address, Config
+from eiderhub.sidecar.config import Address, Config, needs_restart
 
 HERE, OTHER_CELL = ("z", 0), ("y", 1)  # two places, for asking the rules what holds for each
 
--- a/eiderhub/config/load.py
+++ b/eiderhub/config/load.py
@@ -148,16 +148,3 @@
     if examined.config is None:
         raise ConfigError(f"{path}: must be an object")
     return examined.config
-
-
-def needs_restart(old: Config, new: Config) -> list[str]:
-    """What a running sidecar can't take up: only discovery, the routes and their pools may change while it runs."""
-    changed = [
-        key
-        for key in ("name", "listen", "bounds", "thrift", "consul", "fleet")
-        if getattr(old, key) != getattr(new, key)
-    ]
-    for field in dataclasses.fields(old.settings):
-        if getattr(old.settings, field.name) != getattr(new.settings, field.name):
-            changed.append(f"settings.{field.name}")
-    return changed
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -16,7 +16,7 @@
 from eiderhub.protocols.http1.server import Server
 from eiderhub.sidecar.callers import Callers
 from eiderhub.sidecar.clock import now_us
-from eiderhub.sidecar.config import Config, ConfigError, load
+from eiderhub.sidecar.config import Config, ConfigError, load, needs_restart
 from eiderhub.sidecar.host import Host
 
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
@@ -106,8 +106,8 @@
 class Reloader:
     """SIGHUP: reads and checks the files beside the loop, one reading at a time, and takes the newest whole.
 
-    A check of a large file takes a good part of a second, in which every request would stand still. What it
-    needs is imported with the first reload: a sidecar that gets none has no use for it.
+    A check of a large file takes a good part of a second, in which every request would stand still. What is read is
+    held to what a start holds it to, no less and no more: a platform's file that starts may not be refused later.
     """
 
     def __init__(self, host: Host, config: Config, operator: str | None) -> None:
@@ -133,9 +133,7 @@
         self._task = None
 
     def _read(self) -> Config:
-        from eiderhub.config.load import checked, needs_restart
-
-        new = checked(os.environ, self.operator)
+        new = _start(self.operator)
         changed = needs_restart(self.config, new)
         if changed:
             raise ConfigError(f"a restart is needed for {', '.join(changed)}; nothing has changed")
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -119,3 +120,16 @@
         known=known,
         settings=settings,
     )
+
+
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """What a running sidecar can't take up: only discovery, the routes and their pools may change while it runs."""
+    changed = [
+        key
+        for key in ("name", "listen", "bounds", "thrift", "consul", "fleet")
+        if getattr(old, key) != getattr(new, key)
+    ]
+    for field in dataclasses.fields(old.settings):
+        if getattr(old.settings, field.name) != getattr(new.settings, field.name):
+            changed.append(f"settings.{field.name}")
+    return changed
--- a/tests/fleet/test_files.py
+++ b/tests/fleet/test_files.py
@@ -12,8 +12,9 @@
 import pytest
 
 from eiderhub.cli import main
-from eiderhub.config.load import Examined, Source, examine, needs_restart
+from eiderhub.config.load import Examined, Source, examine
 from eiderhub.fleet.journal import EVENTS, MEMBERS, MOST_BYTES, Journal
+from eiderhub.sidecar.config import needs_restart
 from tests.sidecar_support import SETUP, listing, row
 
 DOCUMENT: dict[str, Any] = {
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -13,7 +13,7 @@
 
 from eiderhub.sidecar.__main__ import close_listener
 from standins.http import read_message
-from tests.sidecar_support import SETUP, Client, Sidecar, listing, program, ready, row, run
+from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, program, ready, row, run
 from tests.test_sidecar import Answers, direct
 
 QUICK: list[dict[str, Any]] = [{**c, "AimUs": 200_000, "DeadlineUs": 400_000} for c in SETUP["Categories"]]
@@ -145,6 +145,53 @@
     run(test())
 
 
+@pytest.mark.parametrize("longest_ms", [200, 400])
+def test_with_short_deadlines_all_that_was_taken_is_answered_before_sigkill_can_come(
+    longest_ms: int, tmp_path: Path
+) -> None:
+    """Endpoints hang; one request is half written as the last stage begins, one comes on a new connection late."""
+    classes = [{**c, "AimUs": longest_ms * 500, "DeadlineUs": longest_ms * 1000} for c in SETUP["Categories"]]
+
+    async def test() -> None:
+        async with program(tmp_path, {"settings": {**SETUP, "Categories": classes}}) as running:
+            clients = [await running.client() for _ in range(4)]
+            half = await running.client()
+            half.writer.write(b"POST /pay/a HTTP/1.1\r\nHost: a\r\nReq-")
+            running.process.send_signal(signal.SIGTERM)
+            for client in clients:
+                client.send(deadline_ms=longest_ms)
+            late = await running.client()
+            late.send("look", deadline_ms=longest_ms)
+            for client in (*clients, late):
+                assert (await client.answer()).status in (502, 503, 504)
+            assert await asyncio.to_thread(running.process.wait) == 0
+            assert await half.reader.read() == b""  # it was never whole: it is owed nothing
+
+    run(test())
+
+
+def test_a_request_that_crosses_the_last_answer_on_its_connection_is_not_half_taken() -> None:
+    """It comes in the turn in which the answer with `Connection: close` is written: taken whole, or not at all."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(body=b"0")
+            asked = await sidecar.endpoints[0].next()
+            sidecar.callers.leaving = True
+            client.send(body=b"1")  # in the same turn as the answer
+            asked.reply()
+            told = await client.answer()
+            if "connection" in told.headers:  # the answer went first: the caller asks again elsewhere
+                assert sidecar.endpoints[0].asked.empty() and not sidecar.host.requests
+            else:  # the request went first: it is taken, and served
+                (await sidecar.endpoints[0].next()).reply()
+                told = await client.answer()
+            assert (told.status, told.headers["connection"]) == (200, "close")
+
+    run(test())
+
+
 def test_the_end_waits_for_what_is_owed_and_for_nothing_else() -> None:
 
     async def test() -> None:
@@ -233,6 +280,26 @@
 # --- another customer's file ---
 
 
+@pytest.mark.parametrize("effect", ["idempotent", "at_most_once"])
+def test_a_reload_takes_what_a_start_takes_whatever_a_class_is_called(effect: str, tmp_path: Path) -> None:
+    """Seen: classes with names that one customer declared were held to that customer's effects, at reloads alone.
+
+    The move of discovery was refused with them, and the old list stayed in use.
+    """
+    classes = [{**SETUP["Categories"][0], "Name": name, "Effect": effect} for name in ("despacho", "reserva")]
+
+    async def test() -> None:
+        other = await Fake().start()
+        async with program(tmp_path, {"settings": {**SETUP, "Categories": classes}}) as running:
+            path = tmp_path / "config.json"
+            document = json.loads(path.read_text(encoding="utf-8"))
+            path.write_text(json.dumps({**document, "discovery": other.address}), encoding="utf-8")
+            running.process.send_signal(signal.SIGHUP)
+            assert (await other.next()).message.first == "GET /discovery/hosts HTTP/1.1"
+
+    run(test())
+
+
 @pytest.mark.parametrize("change", ["tenant renamed", "no tenants", "another effect"])
 def test_a_reload_with_another_customers_settings_is_refused_whole(change: str, tmp_path: Path) -> None:
     async def test() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -20,7 +21,7 @@
     Readiness,
     RequestClass,
 )
-from tests.support import MS, SAFE, Host, S, endpoints, settings
+from tests.support import KEYED, MS, SAFE, Host, S, endpoints, settings
 
 # --- rule 1: exactly one final answer, in time ---
 
@@ -151,6 +152,16 @@
     assert may_resend(effect, group, 2 * S, None, after, to) is True
 
 
+@pytest.mark.parametrize(("after", "sends"), [(1_700 * MS, 2), (1_800 * MS, 1)])
+def test_a_keyed_repeat_leaves_its_window_the_time_of_a_connection(after: int, sends: int) -> None:
+    """A connection may come up 250 ms late: a repeat chosen at 1.8 s would leave at 2.05 s, with a window of 2 s."""
+    host = Host(settings(classes=(replace(KEYED, late_share=0.5),)), endpoints(8))
+    call = host.order("hold")
+    host.advance(after)
+    host.reply(call, Outcome.ERROR, spent=after)
+    assert len(host.sent[call]) == sends
+
+
 @pytest.mark.parametrize("grade", ["look", "hold", "pay"])
 @pytest.mark.parametrize("outcome", [o for o in Outcome if o not in (Outcome.OK, Outcome.MOOT)])
 def test_after_each_outcome_the_next_step_is_legal(grade: str, outcome: Outcome) -> None:
