What was read ahead on a caller's connection is answered before it closes

Found on 2026-12-02 in reading the change once more: where the request before it was refused within the same call, as at the end of a drain, what had been read ahead looked like nothing, and the connection closed with a request that was taken (server.answer, `keep`; `answering` the same). The test fails on the text before, the read ends with no bytes after two answers.

--- a/eiderhub/protocols/http1/server.py
+++ b/eiderhub/protocols/http1/server.py
@@ -207,7 +207,7 @@
 
     @property
     def answering(self) -> bool:
-        return self.current is not None or bool(self.waiting)
+        return self.current is not None or bool(self.waiting or self._behind)
 
     def _serve_next(self) -> None:
         """Serve what waits, once the read that brought it is parsed whole and nothing is in the way."""
@@ -264,7 +264,7 @@
         if not self.waiting and not self.receiving and not self._behind:
             self.let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
-        keep = self.keep and (bool(self.waiting) or not self.callers.leaving)
+        keep = self.keep and (bool(self.waiting or self._behind) or not self.callers.leaving)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Other")), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -126,6 +126,27 @@
     run(test())
 
 
+def test_what_was_read_ahead_has_an_answer_too_when_the_one_before_it_is_refused_at_once() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(body=b"0")
+            await sidecar.endpoints[0].next()
+            client.send(body=b"1")
+            (caller,) = sidecar.callers.all
+            while not caller.waiting:  # type: ignore[attr-defined]
+                await asyncio.sleep(0)
+            client.send(body=b"2")
+            while not caller._behind:  # type: ignore[attr-defined]
+                await asyncio.sleep(0)
+            sidecar.callers.leaving = True
+            sidecar.host.close()
+            assert [(await client.answer()).status for _ in range(3)] == [504, 503, 503]
+            assert await client.reader.read() == b""
+
+    run(test())
+
+
 def test_requests_behind_one_another_all_have_an_answer_when_the_process_ends(tmp_path: Path) -> None:
     """Seen by reading: as the first was failed at the end, the second was sent on, and the process ended on it."""
 
