The settings' time for asking bounds the watch's wait and the back-off, which were constants

Need: `Rules.AskEveryUs` was not read. The platform holds a copy whose call failed to its list for four times that time, then each change counts as told. Waits of a watch (10 to 30 s) and the back-off (8 s, half as much again by jitter) fit the 10 s of the deployments at hand; at another's 2 s a watch that fails at its end, or the third refusal, would be past it.

Change: waits lie between one and three times `AskEveryUs`, the back-off within it, never more than before; 0 or none means 10 s, as where lists are pushed. With 10 s nothing changes.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -771,7 +771,8 @@
                 # Guards against all copies asking again in step after discovery has turned them away.
                 self.asking = True
                 self.actions.timer(int(self.ask_wait * (0.5 + self.random.random())), ASK)
-                self.ask_wait = min(2 * self.ask_wait, ASK_BACKOFF_MAX_US)
+                # Rule 3: four times that long after a failed call its list counts as told anew.
+                self.ask_wait = min(2 * self.ask_wait, ASK_BACKOFF_MAX_US, self.settings.rules.ask_every_us)
             return
         if form is not ListForm.CACHED:
             self.ask_wait = ASK_BACKOFF_US
--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -117,9 +117,8 @@
         _optional("ColdFrom", Number(0.001, 1), "the part of its capacity that it starts with", 0.1),
         _optional("OverloadFactor", Number(0.001, 1000), "the multiple that a cold endpoint bears", 2.0),
         _optional("DrainGraceUs", PAUSE, "how soon news of a drain must be in force", 1_000_000),
-        *(_optional(name, Anything(), "stated by the platform") for name in (
-            "AnswerSlackUs", "AskEveryUs", "FallUs",
-        )),
+        _optional("AskEveryUs", PAUSE, "how long a copy with no watch may go by its list", 10_000_000),
+        *(_optional(name, Anything(), "stated by the platform") for name in ("AnswerSlackUs", "FallUs")),
     ),
     foreign=True,
 )  # fmt: skip
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -173,12 +173,14 @@
     cold_from: float = 0.1
     overload_factor: float = 2.0
     drain_grace_us: int = 1_000_000  # how soon news of a drain must be in force: it says how often to look for it
+    ask_every_us: int = 10_000_000  # how long a copy with no watch may go by its list, or four times that
 
     def __post_init__(self) -> None:
         _require(self.cold_us >= 0, "cold_us", "must not be negative")
         _require(0 < self.cold_from <= 1, "cold_from", "must lie in (0, 1]")
         _require(self.overload_factor > 0, "overload_factor", "must be above 0")
         _require(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
+        _require(self.ask_every_us > 0, "ask_every_us", "must be above 0")
 
 
 @dataclass(frozen=True, slots=True)
--- a/eiderhub/membership/pace.py
+++ b/eiderhub/membership/pace.py
@@ -33,18 +33,21 @@
 class Pace:
     """What to ask next of one address; times are seconds from now."""
 
-    def __init__(self, pushed: bool, grace_us: int, rng: random.Random, place: float) -> None:
+    def __init__(
+        self, pushed: bool, grace_us: int, rng: random.Random, place: float, every_us: int = WAIT_MS[0] * 1000
+    ) -> None:
         self.pushed = pushed  # an agent on this machine answers at once, at no cost, and nobody else asks again
         self.grace_s = grace_us / 1e6
         self.rng = rng
         self.place = place  # of this copy among all, in 0..1
+        self.every_us = every_us  # how long a list may be gone by that nobody has asked for, by the settings
         self.whole = False  # the address is new, or its versions are: it owes the whole list
         self._checks = 0  # questions asked since a watch fell silent
         self._failures = 0  # in a row
 
     def elsewhere(self) -> Pace:
         """For another address, of which nothing is known yet."""
-        other = Pace(self.pushed, int(self.grace_s * 1e6), self.rng, self.place)
+        other = Pace(self.pushed, int(self.grace_s * 1e6), self.rng, self.place, self.every_us)
         other.whole = True
         return other
 
@@ -56,7 +59,8 @@
             return Question(False, int(wait_s * 1000), wait_s + self._agent_s)
         if self._checks:
             return Question(False, 0, CHECK_S)
-        least, most = WAIT_MS
+        # A watch that fails at its end asked that long ago: less than four times what the settings give.
+        least, most = (min(wait, part * self.every_us // 1000) for wait, part in zip(WAIT_MS, (1, 3), strict=True))
         wait_ms = int(least + self.place * (most - least))
         return Question(False, wait_ms, wait_ms / 1000 + LATE_S)
 
--- a/eiderhub/settings.py
+++ b/eiderhub/settings.py
@@ -144,11 +144,13 @@
             "cold_from": "ColdFrom",
             "overload_factor": "OverloadFactor",
             "drain_grace_us": "DrainGraceUs",
+            "ask_every_us": "AskEveryUs",
         },
         cold_us=_get(figures, "ColdUs", int, "Rules.", 10_000_000),
         cold_from=float(_get(figures, "ColdFrom", number, "Rules.", 0.1)),
         overload_factor=float(_get(figures, "OverloadFactor", number, "Rules.", 2.0)),
         drain_grace_us=_get(figures, "DrainGraceUs", int, "Rules.", 1_000_000),
+        ask_every_us=_get(figures, "AskEveryUs", int, "Rules.", 0) or 10_000_000,  # 0 where lists are pushed
     )
     parts = _get(setup, "Goal", dict, "", {})
     weight = {key: float(_get(parts, key, number, "Goal.", 0.0)) for key in BY_WORTH + BY_CLASS}
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -97,6 +97,7 @@
                 max(self.settings.rules.drain_grace_us, LEAST_GRACE_US),
                 random.Random(config.seed),
                 self._place(),
+                self.settings.rules.ask_every_us,
             ),
             lambda form, entries: self.heard(form, entries),
         )
--- a/tests/membership/test_pace.py
+++ b/tests/membership/test_pace.py
@@ -32,6 +32,15 @@
     assert left_s - ROUND_TRIP_S > 0
 
 
+@pytest.mark.parametrize("every_us", [2_000_000, 10_000_000, 60_000_000])
+def test_a_watch_that_fails_at_its_end_leaves_time_to_ask_by_the_settings(every_us: int) -> None:
+    """From the call that failed its list is good for four times what the settings give, and no longer."""
+    for place in (0.0, 0.5, 0.99):
+        p = Pace(False, 1_000_000, random.Random(1), place, every_us)
+        assert p.question().wait_ms * 1000 <= 3 * every_us
+        assert p.question().wait_ms <= 30_000  # of the platform's 60 s, however long a list may stand
+
+
 def test_checks_are_few_and_then_the_module_is_asked() -> None:
     p = pace()
     for _ in range(CHECKS):
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -52,6 +52,14 @@
     assert asked_at(host, NOW + S, ListForm.DELTA) == [0]
 
 
+def test_a_copy_that_is_turned_away_asks_again_within_what_the_settings_give() -> None:
+    """Its list counts as told anew four times so long after a failed call."""
+    every = 2 * S
+    host = Host(settings(discovery=Discovery.ASK, rules=Rules(ask_every_us=every)), endpoints(4), now=NOW)
+    asked = asked_at(host, NOW + 60 * S, ListForm.FAILED)
+    assert max(later - at for at, later in itertools.pairwise(asked)) <= 1.5 * every
+
+
 def test_copies_that_discovery_turns_away_ask_ever_less_and_not_together() -> None:
     hosts = copies(discovery=Discovery.ASK)
     asked = [at for host in hosts for at in asked_at(host, NOW + 60 * S, ListForm.FAILED)]
