A test of a drain with every descriptor held by a bad caller's half request

The review of the rare failures had left two paths without a test: descriptors at their bound while draining, and bad clients that hold all places then. Sound as it was: on the real program, 64 descriptors, 128 half requests and SIGTERM, a kept caller and one that comes after it are answered and the process ends with 0.

--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 from pathlib import Path
@@ -194,6 +195,38 @@
     run(test())
 
 
+def test_bad_callers_that_hold_all_places_keep_nothing_from_being_answered_in_a_drain(tmp_path: Path) -> None:
+    """Descriptors are at their bound, each held by half a request, and the process is told to end."""
+    sockets = 64
+    classes = [{**c, "AimUs": 2_000_000, "DeadlineUs": 2_000_000} for c in SETUP["Categories"]]
+    changes = {"limits": {"sockets": sockets, "memory_mb": 64}, "settings": {**SETUP, "Categories": classes}}
+
+    async def test() -> None:
+        async with program(tmp_path, changes) as running:
+            kept = await running.client()
+            assert await ready(kept) == 200
+            kept.send(deadline_ms=30_000)
+            out = await running.endpoint.next()
+            bad = [await running.client() for _ in range(2 * sockets)]
+            for client in bad:
+                client.writer.write(b"POST /pay/a HTTP/1.1\r\nHost: a\r\nReq-")
+            new = await running.client()
+            assert await ready(new) == 200
+            assert sockets / 2 < len(os.listdir(f"/proc/{running.process.pid}/fd")) <= sockets
+            running.process.send_signal(signal.SIGTERM)
+            late = await running.client()
+            while await ready(late) != 503:  # it has heard
+                pass
+            late.send("look", deadline_ms=30_000)
+            (await running.endpoint.next()).reply()
+            assert (await late.answer()).status == 200
+            out.reply()
+            assert (await kept.answer()).status == 200
+            assert await asyncio.to_thread(running.process.wait) == 0
+
+    run(test())
+
+
 def test_a_request_that_crosses_the_last_answer_on_its_connection_is_not_half_taken() -> None:
     """It comes in the turn in which the answer with `Connection: close` is written: taken whole, or not at all."""
 
