A retry is no longer refused by chance while a sound endpoint is left

A line for each refusal told two causes. (1) `Balancer._pick` draws eight times at random; with two endpoints, of which one was tried, all eight fall on that one in 1 of 256, and `_again` refuses a call that never ran. (2) The test's own: while it warms up, calls of a millisecond make a busy machine look like a pause, a second copy goes out, and the test answers the wrong one.

Change: past chance's draws a retry looks at each member that is whole (neither cold nor returning, so that rule 4 is untouched). The ordinary path draws as before.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1017,13 +1017,14 @@
         tried = call.attempts
         spare = self.placement[call.grade.name].spare
         drawn = 0
-        for _ in range(2 * REDRAWS):
-            e = members[int(self.random.random() * n)]
+        # A retry that finds nobody is refused at once: past what chance drew it looks at each that is whole.
+        for at in range(-2 * REDRAWS, n if tried else 0):
+            e = members[at if at >= 0 else int(self.random.random() * n)]
             if e is best or (tried and any(a[0] is e for a in tried)):
                 continue
             warmth = self._warmth(now, e)
             part = self._part(now, e, warmth) * spare.get(e.id, 1.0)
-            if part < 1.0 and self.random.random() >= part:
+            if part < 1.0 and (at >= 0 or self.random.random() >= part):
                 continue
             if warmth < 1.0 and not self._affords(now, e, pool, warmth):
                 continue
