What a business declared of its classes is read from its own file, not held in the program

Need: `schema/declared.py` named two classes of one customer with their effects, for all customers: another's class of that name was refused by the checker and at starts with an operator's file.

Change: `EIDERHUB_DECLARED` names the file; what can't be read there is told and nothing starts. The corpus of bad files has such a file and finds all that it found. test_customers searches the whole package now, for names and for times: it finds none.

--- a/eiderhub/config/sidecar_file.py
+++ b/eiderhub/config/sidecar_file.py
@@ -11,7 +11,7 @@
 
 from eiderhub.interface import Discovery, Effect, Group
 from eiderhub.routing.target import Refused, segments_of
-from eiderhub.schema.declared import DECLARED, STRICTNESS, fold
+from eiderhub.schema.declared import STRICTNESS, declared, fold
 from eiderhub.schema.findings import Spot
 from eiderhub.schema.kinds import (
     HOUR_US,
@@ -290,23 +290,23 @@
             "No sidecar starts from it, or no repeat would ever be sent",
             "Say for how long repeats are dropped, or make the class at_most_once",
         )
-    declared = DECLARED.get(fold(name))
-    if declared is None:
+    known = declared().get(fold(name))
+    if known is None:
         return
-    if STRICTNESS[effect] < STRICTNESS[declared.effect.value]:
+    if STRICTNESS[effect] < STRICTNESS[known.effect.value]:
         (spot / "Effect").error(
             "effect-declared",
-            f"{name!r} is declared {declared.effect.value}, and is {effect} here",
+            f"{name!r} is declared {known.effect.value}, and is {effect} here",
             "A request that may have run would be sent again",
-            f'Write "{declared.effect.value}"',
+            f'Write "{known.effect.value}"',
         )
-    elif effect == Effect.DEDUPLICATED.value and declared.window_us and window > declared.window_us:
+    elif effect == Effect.DEDUPLICATED.value and known.window_us and window > known.window_us:
         (spot / "DedupWindowUs").error(
             "window",
             f"a key is resent for {show_duration(window)}, and endpoints drop it for "
-            f"{show_duration(declared.window_us)}",
+            f"{show_duration(known.window_us)}",
             "A repeat after that would run a second time",
-            f"Write {declared.window_us} or less",
+            f"Write {known.window_us} or less",
         )
 
 
--- a/eiderhub/protocols/thrift/options.py
+++ b/eiderhub/protocols/thrift/options.py
@@ -15,7 +15,7 @@
 from eiderhub.routing.table import Table as Compiled
 from eiderhub.routing.table import TableError
 from eiderhub.routing.target import Asked
-from eiderhub.schema.declared import DECLARED, STRICTNESS, fold
+from eiderhub.schema.declared import STRICTNESS, declared, fold
 from eiderhub.schema.findings import Spot
 from eiderhub.schema.kinds import (
     BAD,
@@ -195,10 +195,10 @@
 def _check_disguises(pair: Pair, effects: dict[str, str]) -> None:
     """A route by a method's name must not carry off what the business has declared to be stricter."""
     for placed, row in pair.tables.get("routes", []):
-        declared = DECLARED.get(fold(row["call"] or ""))
-        if declared is None or row["class"] not in effects:
+        known = declared().get(fold(row["call"] or ""))
+        if known is None or row["class"] not in effects:
             continue
-        if STRICTNESS[effects[row["class"]]] < STRICTNESS[declared.effect.value]:
+        if STRICTNESS[effects[row["class"]]] < STRICTNESS[known.effect.value]:
             (placed / "call").error(
                 "disguise",
                 f"calls of {row['call']!r} would be of the class {row['class']!r}, which is repeated more freely",
--- a/eiderhub/routing/options.py
+++ b/eiderhub/routing/options.py
@@ -11,7 +11,7 @@
 from eiderhub.routing.plan import FIRST_PART, METHOD, REFUSE, Plan
 from eiderhub.routing.table import MAX_ROUTES, PARAM, Pattern, Route, TableError, read_pattern
 from eiderhub.routing.table import Table as Compiled
-from eiderhub.schema.declared import DECLARED, STRICTNESS, Declared, fold
+from eiderhub.schema.declared import STRICTNESS, Declared, declared, fold
 from eiderhub.schema.findings import Spot
 from eiderhub.schema.kinds import (
     BAD,
@@ -341,8 +341,8 @@
             "Give each name to one class",
         )
     weaker = STRICTNESS[effects[name]]
-    declared = DECLARED.get(fold(alias), Declared(Effect.IDEMPOTENT))
-    strict = max(STRICTNESS[declared.effect.value], STRICTNESS[effects[other]] if other else 0)
+    known = declared().get(fold(alias), Declared(Effect.IDEMPOTENT))
+    strict = max(STRICTNESS[known.effect.value], STRICTNESS[effects[other]] if other else 0)
     if strict > weaker:
         spot.error(
             "disguise",
@@ -424,8 +424,8 @@
         if name in effects:
             names.update((alias, effects[name]) for alias in row["aliases"])
     folded: dict[str, int] = {fold(name): STRICTNESS[effect] for name, effect in names.items()}
-    for name, declared in DECLARED.items():
-        folded[name] = max(folded.get(name, 0), STRICTNESS[declared.effect.value])
+    for name, known in declared().items():
+        folded[name] = max(folded.get(name, 0), STRICTNESS[known.effect.value])
     guards = _guards(routes, effects)
     for route, spot in zip(routes, spots, strict=True):
         if route.grade not in effects:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,10 +3,16 @@
 A longer search, by hand and never in CI: `python -m pytest --hypothesis-profile=long tests/thrift/test_codec.py`.
 """
 
+import os
+from pathlib import Path
+
 import pytest
 from hypothesis import settings
 
 from eiderhub.protocols.http1.client import Connection
+from eiderhub.schema.declared import VARIABLE
+
+os.environ[VARIABLE] = str(Path(__file__).parent / "corpus" / "declared.toml")  # programs that tests start have it too
 
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60)
 settings.register_profile("long", deadline=None, max_examples=1_000)
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -40,9 +40,8 @@
 
 
 def sidecar_modules() -> list[Path]:
-    """What `run` may ever import: all but the tool round the files, which holds what one business declared."""
-    tool = {ROOT / "eiderhub" / name for name in ("config", "schema", "cli.py", "fleet")}
-    return [path for path in sorted((ROOT / "eiderhub").rglob("*.py")) if not tool & {path, *path.parents}]
+    """What `run` may ever import, and the tool round its files."""
+    return sorted((ROOT / "eiderhub").rglob("*.py"))
 
 
 def constants() -> list[tuple[Path, object]]:
