A copy's cap in its own zone counts no more endpoints than the zone has

Ruled out: crossing prices (0.01), closed or ejected endpoints (open 1.00), cold ones.

Change: the part within the zone is at most what the zone holds; the rest opens the other zones. With one zone nothing changes. Test: test_a_copy_puts_no_more_on_its_zone_than_that_holds.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -669,6 +669,7 @@
         self.local, self.remote = Pool(layer), Pool(layer)
         self.pools = (self.local, self.remote)
         self.size = 0  # endpoints that are open to it and ready
+        self.beyond = 0.0  # of this copy's part of them, what its own zone does not hold
         self.sent = 0.0  # work sent lately, of all its classes
         self.spare: dict[str, float] = {}  # the part of an even share left by narrower classes, where below 1
 
@@ -804,12 +805,15 @@
             far = [e for e in allowed if e.zone != s.zone]
             placement.size = len(allowed)
             # Copies are spread over the zones about as endpoints are; other zones have their own to carry.
+            # Danger: of few copies one may have more than its zone holds, and would crowd it with that.
             fair = len(allowed) / s.balancers
+            here = min(fair, len(near))
+            placement.beyond = fair - here
             for pool, members, part in (
-                (placement.local, near, 1.0),
-                (placement.remote, far, REMOTE_PART if near else 1.0),
+                (placement.local, near, here),
+                (placement.remote, far, max(REMOTE_PART * fair, placement.beyond)),
             ):
-                pool.limit.size(fair * part)
+                pool.limit.size(part)
                 pool.counted_at = 0
                 size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.each * pool.limit.fair))
                 pool.subset.fill(members, s.rank, s.balancers, size)
@@ -988,7 +992,8 @@
             self._count_in_use(now, pool)
             if pool is placement.remote and placement.local.subset.members:  # it carries what was lost here
                 lost = 1.0 - placement.local.limit.open
-                limit.listed = limit.fair = placement.local.limit.fair * max(REMOTE_PART, lost)
+                here, beyond = placement.local.limit.fair, placement.beyond
+                limit.listed = limit.fair = max(REMOTE_PART * (here + beyond), lost * here + beyond)
             if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
                 continue
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from eiderhub.interface import Goal, ListForm, Load, Outcome
 from tests.support import KEYED, MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
@@ -76,6 +78,21 @@
     assert sent_out(sick=True) >= sent_out(sick=False) + 2
 
 
+def test_a_copy_puts_no_more_on_its_zone_than_that_holds() -> None:
+    """Found on a deployment of four zones and few copies: the one endpoint near was crowded, others at rest."""
+    entries = [*endpoints(1), *endpoints(5, zone="west", start=1)]
+    host = Host(settings(balancers=2), entries)
+    (placement,) = host.balancer.placements
+    near, far = placement.local.limit, placement.remote.limit
+    assert near.cap == pytest.approx(near.each)  # of its part of three endpoints it has one here
+    for _ in range(40):
+        host.order(tenant="big")
+        host.advance(30 * MS)
+    assert far.cap == pytest.approx(2 * far.each)  # and has the two others elsewhere
+    assert near.in_flight <= near.room(0.0) + 1
+    assert far.in_flight > 0
+
+
 def test_what_was_told_of_an_endpoint_is_void_once_another_process_answers() -> None:
     """Rule 4: a part learned from the process before must not push the cold one over."""
     host = Host(entries=endpoints(1))
