--- a/benchmarks/leaving.py
+++ b/benchmarks/leaving.py
@@ -14,8 +14,6 @@
 import argparse
 import asyncio
 import random
-import socket
-import struct
 import sys
 import tempfile
 import time
@@ -27,7 +25,7 @@
 
 from standins.discovery import Discovery, row
 from standins.endpoint import Behaviour, Endpoint, Ledger
-from standins.http import Message, read_message, request
+from standins.http import Message, leave, read_message, request
 from standins.program import running
 
 LIMIT_S = 0.3
@@ -66,17 +64,6 @@
         return await super().reply(message)
 
 
-def leave(writer: asyncio.StreamWriter, how: str) -> None:
-    if how == "half close":
-        writer.write_eof()
-    elif how == "close":
-        writer.close()
-    else:
-        sock = writer.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
-
-
 async def call(address: tuple[str, int], name: int, chance: random.Random, until: float, cases: list[Case]) -> None:
     """One caller after another: each sends, waits a moment, and leaves what has no answer by then."""
     serial = 0
--- a/standins/http.py
+++ b/standins/http.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 
 class Message:
@@ -47,3 +49,15 @@
     if method != "GET":
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def leave(writer: asyncio.StreamWriter, how: str) -> None:
+    """End a caller's connection: `close`, `half close` or `reset`."""
+    if how == "half close":
+        writer.write_eof()
+    elif how == "close":
+        writer.close()
+    else:
+        sock = writer.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -7,7 +7,6 @@
 import json
 import os
 import socket
-import struct
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine
@@ -30,9 +29,9 @@
 from eiderhub.sidecar.host import Host
 from standins.consul import Consul, instance
 from standins.discovery import listing, row
-from standins.http import Message, answer, read_message
+from standins.http import Message, answer, leave, read_message
 
-__all__ = ["Message", "listing", "row"]  # what the tests take from the stand-ins, and this module uses itself
+__all__ = ["Message", "leave", "listing", "row"]  # what the tests take from the stand-ins, and this module uses itself
 
 PATIENCE_S = 10.0  # a test that waits longer for an event has failed
 
@@ -294,18 +293,6 @@
     return done.pop().result()
 
 
-def leave(writer: asyncio.StreamWriter, how: str) -> None:
-    """End a caller's connection: `close`, `half close` or `reset`."""
-    if how == "half close":
-        writer.write_eof()
-    elif how == "close":
-        writer.close()
-    else:
-        sock = writer.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
-
-
 async def all_go_to(endpoint: Fake, client: Client, calls: int = 6) -> None:
     """Serve so many calls, each of which this endpoint has to get."""
     for _ in range(calls):
