--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1011,6 +1011,9 @@
         gain = self.worth[call.level] * SPILL_GAIN
         if gain <= price:
             return False
+        # Danger: stress and queue of the one endpoint near refused what may not wait, beside others at rest.
+        if self.placement[call.grade.name].beyond > 0:
+            return True  # a part of this copy's own lies there
         return now - call.arrived >= price / gain * HOLD_SHARE * call.grade.aim_us
 
     def _pick(self, now: int, pool: Pool, call: Call) -> EndpointState | None:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from eiderhub.interface import Goal, ListForm, Load, Outcome
+from eiderhub.interface import Goal, ListForm, Load, Outcome, Prices
 from tests.support import KEYED, MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
 
@@ -93,6 +93,34 @@
     assert far.in_flight > 0
 
 
+def test_a_cheap_call_goes_at_once_to_the_part_that_its_copy_has_elsewhere() -> None:
+    """Found on the long day of two deployments: refused for the stress of one endpoint, beside others at rest."""
+    cheap, dear = replace(SAFE, credit=0.3), replace(KEYED, credit=1.0)
+    entries = [*endpoints(1), *endpoints(5, zone="west", start=1)]
+    host = Host(settings(balancers=2, tenants=(), classes=(cheap, dear), prices=Prices(cross_zone=0.02)), entries)
+    (placement,) = host.balancer.placements
+    near = placement.local.limit
+    while near.in_flight < near.room(0.0):
+        host.order("hold")
+    host.balancer.ratio.value = 0.1  # stress
+    call = host.order()
+    assert placement.remote.limit.in_flight == 1
+    assert host.answers(call) == []
+
+
+def test_a_cheap_call_is_refused_where_the_copys_whole_part_is_near() -> None:
+    """With many copies the others' zones are for their own callers: what all send there at once would jam them."""
+    cheap, dear = replace(SAFE, credit=0.3), replace(KEYED, credit=1.0)
+    entries = [*endpoints(1), *endpoints(5, zone="west", start=1)]
+    host = Host(settings(balancers=6, tenants=(), classes=(cheap, dear), prices=Prices(cross_zone=0.02)), entries)
+    (placement,) = host.balancer.placements
+    near = placement.local.limit
+    while near.in_flight < near.room(0.0):
+        host.order("hold")
+    host.balancer.ratio.value = 0.1
+    assert host.answers(host.order()) == ["shed"]
+
+
 def test_what_was_told_of_an_endpoint_is_void_once_another_process_answers() -> None:
     """Rule 4: a part learned from the process before must not push the cold one over."""
     host = Host(entries=endpoints(1))
