A watch beside which listed endpoints refuse is asked and replaced

From 12 to 21 s 1,600 connections were refused by endpoints that the lists called ready, and those left carried the rest (admit 1.9 s, then 4.8 s).

Two listed endpoints have to refuse (not: time out); a copy asks at its turn, on a connection of its own; a sound watch and one that discovery refuses to confirm stay as they are; questions that find nothing come ever less often. An agent is not doubted.

--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -9,8 +9,10 @@
 
 from eiderhub.interface import ListForm
 from eiderhub.membership.asker import Asker
+from eiderhub.membership.doubt import Doubt
 from eiderhub.membership.listing import Listed, Listing, read_listing
-from eiderhub.membership.pace import Pace
+from eiderhub.membership.pace import CHECK_S, Pace, Question
+from eiderhub.sidecar.clock import now_us
 
 MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
 log = logging.getLogger(__name__)
@@ -18,7 +20,8 @@
 
 class Watcher:
     """Keeps one watch open while it is on. Where lists are asked for, one that fails ends, and the module decides when
-    to ask again; one that falls silent is opened anew first, for there is no time to ask it."""
+    to ask again; one that falls silent is opened anew first, for there is no time to ask it. One that is doubted is
+    asked beside: it stays as it is unless it has missed something."""
 
     def __init__(
         self,
@@ -27,23 +30,65 @@
         generation: int,
         pace: Pace,
         deliver: Callable[[ListForm, list[Listed]], None],
+        doubt: Doubt | None = None,
     ) -> None:
         self.host = host
         self.port = port
         self.generation = generation
         self.pace = pace
         self.deliver = deliver
+        self.doubt = doubt
         self._task: asyncio.Task[None] | None = None
         self._asker = Asker(MAX_LIST)
+        self._beside: asyncio.Task[None] | None = None  # the question of a doubt
 
     def turn(self, on: bool) -> None:
         if on and self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._run())
-        elif not on and self._task is not None:
+        elif not on:
+            self._end_doubt()
+            self._stop()
+
+    def _stop(self) -> None:
+        if self._task is not None:
             self._task.cancel()
             self._task = None
             self._asker.hang_up()  # its answer would come in for the next watch
 
+    def refused(self, endpoint: str) -> None:
+        """A listed endpoint has refused a connection."""
+        doubt = self.doubt
+        if doubt is None or self._task is None or self._beside is not None or self.pace.whole:
+            return
+        if doubt.refused(endpoint, now_us()):
+            self._beside = asyncio.get_running_loop().create_task(self._ask_beside(doubt))
+
+    def _end_doubt(self) -> None:
+        if self._beside is not None:
+            self._beside.cancel()
+            self._beside = None
+
+    async def _ask_beside(self, doubt: Doubt) -> None:
+        """Wait for our turn, then ask on a connection of its own: a watch that is sound must not be lost for it."""
+        await asyncio.sleep(doubt.turn_us / 1e6)
+        asker, listing = Asker(MAX_LIST), None
+        try:
+            listing = await self._put(asker, Question(False, 0, CHECK_S))
+        except Exception as error:  # the watch goes on, and knows by itself when it has failed
+            log.warning("discovery, asked in doubt: %s: %s", type(error).__name__, error)
+        finally:
+            asker.hang_up()
+        news = listing is not None and listing.generation > self.generation
+        doubt.asked(now_us(), news)
+        self._beside = None
+        if listing is not None and news:
+            log.info("discovery: the watch has missed version %d", listing.generation)
+            self._stop()
+            try:
+                self._take(listing)
+            finally:
+                self.turn(True)
+
     def move(self, host: str, port: int) -> None:
         """Watch at another address; the last list stays in use until that has told all of its own.
 
@@ -79,14 +124,20 @@
         self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
         self.generation = listing.generation
         self.pace.answered()
+        # Its turn has not come yet, or its answer is not here: neither is needed any more.
+        self._end_doubt()
+        if self.doubt is not None:
+            self.doubt.dispelled()
 
     async def _ask(self) -> Listing:
-        question = self.pace.question()
+        return await self._put(self._asker, self.pace.question())
+
+    async def _put(self, asker: Asker, question: Question) -> Listing:
         path = "/discovery/hosts"
         if not question.whole:
             path = f"{path}?after={self.generation}&wait_ms={question.wait_ms}"
         request = f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode()
-        response = await self._asker.ask(self.host, self.port, request, question.patience_s)
+        response = await asker.ask(self.host, self.port, request, question.patience_s)
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
         return read_listing(json.loads(response.body))
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -15,6 +15,7 @@
 
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.membership.doubt import Doubt
 from eiderhub.membership.listing import Listed
 from eiderhub.membership.pace import LEAST_GRACE_US, Pace
 from eiderhub.routing.plan import plain
@@ -80,6 +81,7 @@
             config.bounds.endpoints,
             self.budget,
         )
+        self.upstream.refused = self._refused
         self.heard = self.on_list  # what hears lists: the host, or what joins them with those of other sources
         self.witness: Callable[[str, Outcome], None] | None = None  # who else is told how attempts end
         self.watcher = self._watcher(config) if config.discovery else None
@@ -100,8 +102,20 @@
                 self.settings.rules.ask_every_us,
             ),
             lambda form, entries: self.heard(form, entries),
+            self._doubt(),
         )
 
+    def _doubt(self) -> Doubt | None:
+        """What an agent has is asked for several times within the grace: nothing is gained by asking more."""
+        s = self.settings
+        if s.discovery is Discovery.PUSH:
+            return None
+        return Doubt(self._place(), s.balancers * s.tiers, s.rules.ask_every_us)
+
+    def _refused(self, endpoint: str) -> None:
+        if self.watcher is not None:
+            self.watcher.refused(endpoint)
+
     def _place(self) -> float:
         """Where this copy stands among those that ask the same discovery, from 0 to 1; tiers between one another."""
         s = self.settings
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -165,6 +165,7 @@
         self.pools: dict[str, Pool] = {}  # of the endpoints that are ready, and no others
         self.active: dict[Link, None] = {}  # with an attempt out on them
         self._connecting: set[asyncio.Task[None]] = set()
+        self.refused: Callable[[str], None] | None = None  # who is told of endpoints where nobody listens
 
     async def sweep(self) -> None:
         """Close idle connections well before their endpoints do: one that crosses a request resets it.
@@ -246,6 +247,8 @@
         except Exception as error:  # whatever a list may name as an address: each attempt has to end
             if not isinstance(error, OSError):
                 log.error("endpoint %s at %s:%d: %s", attempt.endpoint, home.host, home.port, error)
+            if isinstance(error, ConnectionRefusedError) and pool.ready and home == pool.home and self.refused:
+                self.refused(attempt.endpoint)
             self.open -= 1
             attempt.end(Outcome.CONNECT_FAILED)
             return
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,6 +8,8 @@
 import pytest
 
 from eiderhub.membership import pace
+from eiderhub.membership.doubt import Doubt
+from eiderhub.sidecar.discovery import Watcher
 from tests.sidecar_support import Asked, Fake, Sidecar, all_go_to, listing, row, run
 
 LIST = listing(2, False)
@@ -110,3 +112,130 @@
             assert "after=4&" in (await other.next()).message.first
 
     run(test())
+
+
+# --- a watch that is doubted ---
+
+
+async def both_refuse(sidecar: Sidecar) -> None:
+    """Nobody listens at either endpoint any more, and a call has found that."""
+    for fake in sidecar.endpoints:
+        fake.server.close()
+        await fake.server.wait_closed()
+    await find_them_refusing(sidecar)
+
+
+async def find_them_refusing(sidecar: Sidecar) -> None:
+    assert (await (await sidecar.client()).ask("look")).status == 503
+
+
+def watcher_of(sidecar: Sidecar) -> Watcher:
+    assert sidecar.host.watcher is not None
+    return sidecar.host.watcher
+
+
+def test_a_watch_whose_endpoints_refuse_is_asked_beside_and_replaced() -> None:
+    """Found on join+mass at a site of our own: watches of up to 30 s had fallen silent, and 60% were replaced."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            fresh = await Fake().start()
+            watch = await sidecar.discovery.next()  # it never says anything again
+            await both_refuse(sidecar)
+            doubt = await sidecar.discovery.next()
+            assert doubt.connection != watch.connection
+            assert doubt.message.first.startswith("GET /discovery/hosts?after=1&wait_ms=0 ")
+            gone = [row(f"s-{i}", fake.address, "gone") for i, fake in enumerate(sidecar.endpoints)]
+            doubt.reply(200, listing(5, False, *gone, row("s-9", fresh.address)))
+            again = await sidecar.discovery.next()
+            assert "after=5&" in again.message.first
+            assert "wait_ms=0 " not in again.message.first
+            ended = {await sidecar.discovery.ends.get() for _ in range(2)}
+            assert ended == {watch.connection, doubt.connection}  # what still comes on them is nobody's answer
+            await all_go_to(fresh, await sidecar.client())
+
+    run(test())
+
+
+@pytest.mark.parametrize("answer", [(200, listing(1, False)), (503, b"")])
+def test_a_watch_that_has_missed_nothing_stays_as_it_is(answer: tuple[int, bytes]) -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            fresh = await Fake().start()
+            watch = await sidecar.discovery.next()
+            await both_refuse(sidecar)
+            doubt = await sidecar.discovery.next()
+            doubt.reply(*answer)
+            assert await sidecar.discovery.ends.get() == doubt.connection
+            await find_them_refusing(sidecar)
+            assert watcher_of(sidecar)._beside is None  # it was asked a moment ago
+            watch.reply(200, listing(2, False, row("s-9", fresh.address)))
+            assert (await sidecar.discovery.next()).connection == watch.connection
+            assert "s-9" in sidecar.host.upstream.pools
+
+    run(test())
+
+
+def test_a_watch_that_speaks_before_our_turn_is_not_asked() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            watch = await sidecar.discovery.next()
+            watcher = watcher_of(sidecar)
+            assert watcher.doubt is not None
+            watcher.doubt.turn_us = 60_000_000
+            await both_refuse(sidecar)
+            waits = watcher._beside
+            assert waits is not None
+            watch.reply(200, listing(2, False))
+            await sidecar.discovery.next()
+            assert waits.cancelled()
+            assert watcher._beside is None
+
+    run(test())
+
+
+def test_an_end_of_the_watch_ends_its_doubt() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            watch = await sidecar.discovery.next()
+            await both_refuse(sidecar)
+            doubt = await sidecar.discovery.next()
+            sidecar.host.tail(False)
+            ended = {await sidecar.discovery.ends.get() for _ in range(2)}
+            assert ended == {watch.connection, doubt.connection}
+            await find_them_refusing(sidecar)
+            assert watcher_of(sidecar)._beside is None
+
+    run(test())
+
+
+def test_an_agent_is_not_doubted() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=2, Discovery="push") as sidecar:
+            await both_refuse(sidecar)
+            assert watcher_of(sidecar)._beside is None
+
+    run(test())
+
+
+def test_one_endpoint_that_refuses_raises_no_doubt() -> None:
+    doubt = Doubt(0.0, 4, 10_000_000)
+    assert [doubt.refused("a", at) for at in range(3)] == [False] * 3
+    assert doubt.refused("b", 3)
+    doubt.dispelled()
+    assert not doubt.refused("a", 4)
+
+
+def test_doubts_that_find_nothing_are_ever_rarer_and_copies_take_turns() -> None:
+    doubt, now, pauses = Doubt(0.5, 200, 10_000_000), 0, []
+    assert doubt.turn_us == 2_000_000
+    for _ in range(4):
+        doubt.asked(now, news=False)
+        begun = now
+        while not (doubt.refused("a", now) | doubt.refused("b", now)):
+            now += 100_000
+        pauses.append(now - begun)
+    assert pauses == [5_000_000, 10_000_000, 10_000_000, 10_000_000]
+    doubt.asked(now, news=True)
+    assert not doubt.refused("a", now + 2_400_000) | doubt.refused("b", now + 2_400_000)
+    assert doubt.refused("a", now + 2_500_000) | doubt.refused("b", now + 2_500_000)
