A knock of the fleet's view no longer walks all contacts and members

Seen: each knock unpacked the addresses of all members and all contacts while any was missing: 19,700 addresses read for 100 knocks of a member that knows 197 of 200. Change: the table counts addresses as members come and go; a member keeps the contacts at which nobody is known, drops those that are known as they are drawn, and looks for others with the forgetting.

Test: test_a_knock_reaches_each_contact_..., 100 addresses read.

--- a/eiderhub/fleet/members.py
+++ b/eiderhub/fleet/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -66,6 +67,7 @@
         self.members: dict[str, Member] = {}
         self.suspects: dict[str, Member] = {}
         self.gone: dict[str, Member] = {}
+        self.addresses: Counter[bytes] = Counter()  # of all that are known, gone or not: how many have each
         self.here = 0
         self._view = 0
         self._parts = [0] * PARTS
@@ -84,10 +86,12 @@
         if member is None:
             member = self.members[told.name] = Member(told, now, word, part_of(told.name))
         else:
+            self._leave_address(member)
             self._discount(member)
             if member.told.state is not told.state:
                 member.since_us = now
             member.told, member.word = told, word
+        self.addresses[told.address] += 1
         if told.state is State.SUSPECT:
             self.suspects[told.name] = member
         else:
@@ -101,7 +105,15 @@
         return member
 
     def forget(self, name: str) -> None:
-        self._discount(self.members.pop(name))
+        member = self.members.pop(name)
+        self._leave_address(member)
+        self._discount(member)
+
+    def _leave_address(self, member: Member) -> None:
+        address = member.told.address
+        self.addresses[address] -= 1
+        if not self.addresses[address]:
+            del self.addresses[address]
 
     def _discount(self, member: Member) -> None:
         name = member.told.name
--- a/eiderhub/fleet/protocol.py
+++ b/eiderhub/fleet/protocol.py
@@ -116,7 +116,8 @@
         self.slow = 0  # 0: sound
         self.counts: Counter[str] = Counter()  # what was dropped, sent and concluded, by cause
         self.yielded = False  # another process has our name, and keeps it
-        self._contacts = [a for a in terms.contacts if a != address]
+        self._contacts = [pack_address(*a) for a in terms.contacts if a != address]
+        self._unmet = list(self._contacts)  # at which nobody is known: those that are leave it as they are drawn
         self._allowed = frozenset(terms.contacts)
         self._serial = 0
         self._probe: Probe | None = None
@@ -230,13 +231,18 @@
 
     def _knock(self) -> None:
         """Ask one that is gone or that has never answered: it may be there again, or behind a cut that has healed."""
-        doors = [unpack_address(m.told.address) for m in self.table.gone.values()]
-        if self.table.here < len(self._contacts) + 1:
-            known = {unpack_address(m.told.address) for m in self.table.members.values()}
-            doors += [address for address in self._contacts if address not in known]
-        doors = [address for address in doors if address != self.address]
-        if doors:
-            self._send(self.random.choice(doors), self._sums(False))
+        own = pack_address(*self.address)
+        gone = [member.told.address for member in self.table.gone.values() if member.told.address != own]
+        unmet = self._unmet if self.table.here < len(self._contacts) + 1 else []
+        while gone or unmet:
+            at = self.random.randrange(len(gone) + len(unmet))
+            door = gone[at] if at < len(gone) else unmet[at - len(gone)]
+            if at >= len(gone) and self.table.addresses[door]:
+                unmet[at - len(gone)] = unmet[-1]
+                unmet.pop()
+                continue
+            self._send(unpack_address(door), self._sums(False))
+            return
 
     def _forget(self, now: int) -> None:
         self._periods += 1
@@ -250,6 +256,7 @@
         for name in old:
             self.table.forget(name)
             self.counts["forgotten"] += 1
+        self._unmet = [address for address in self._contacts if not self.table.addresses[address]]
 
     # --- probing ---
 
--- a/tests/fleet/test_protocol.py
+++ b/tests/fleet/test_protocol.py
@@ -8,9 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from eiderhub.fleet.members import Table
-from eiderhub.fleet.messages import Change, Codec, State
-from eiderhub.fleet.protocol import MOST_NEWS, Terms
+from eiderhub.fleet import protocol
+from eiderhub.fleet.members import Address, Table
+from eiderhub.fleet.messages import Change, Codec, State, pack_address, unpack_address
+from eiderhub.fleet.protocol import FORGET_PERIODS, MOST_NEWS, Terms
 from standins.fleet.faults import Link
 from standins.fleet.script import KINDS, draw, parse
 from standins.fleet.virtual import World, address_of
@@ -219,6 +220,37 @@
     assert rates[1] < 1.5 * rates[0] < 10
 
 
+def test_a_knock_reaches_each_contact_at_which_nobody_is_known_and_does_not_walk_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found in virtual time at 1,000 members: a knock that walked all contacts took most of the machine's time."""
+    count, missing = 200, {150, 151, 152}
+    world = World(count, 1)
+    member = world.start(0)
+    for number in set(range(1, count)) - missing:
+        told = Change(f"n{number}", pack_address(*address_of(number)), 1, State.ALIVE, 1, b"b")
+        member.table.put(told, world.now, told.name)
+    read: list[bytes] = []
+
+    def counted(packed: bytes) -> Address:
+        read.append(packed)
+        return unpack_address(packed)
+
+    monkeypatch.setattr(protocol, "unpack_address", counted)
+    member.sent()
+    for _ in range(100):
+        member._knock()
+    assert {datagram.to for datagram in member.sent()} == {address_of(number) for number in missing}
+    assert len(read) == 100
+    # One that is forgotten is a door again, within the periods after which that is looked for.
+    member.table.forget("n7")
+    for _ in range(FORGET_PERIODS):
+        member._forget(world.now)
+    for _ in range(100):
+        member._knock()
+    assert {datagram.to for datagram in member.sent()} == {address_of(number) for number in missing | {7}}
+
+
 @pytest.mark.parametrize("text", ["0 cut 1", "x kill 1", "0 explode 1", "0 kill 1 loss=1", "0 link 0-3 speed=9"])
 def test_a_script_that_can_not_be_read_names_its_line(text: str) -> None:
     with pytest.raises(ValueError, match="line 2"):
