--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -93,32 +93,31 @@
     assert far.in_flight > 0
 
 
-def test_a_cheap_call_goes_at_once_to_the_part_that_its_copy_has_elsewhere() -> None:
-    """Found on the long day of two deployments: refused for the stress of one endpoint, beside others at rest."""
-    cheap, dear = replace(SAFE, credit=0.3), replace(KEYED, credit=1.0)
+def under_stress(copies: int) -> Host:
+    """One of so many copies that has one endpoint near, filled by the dear class, and five elsewhere."""
+    classes = (replace(SAFE, credit=0.3), replace(KEYED, credit=1.0))
     entries = [*endpoints(1), *endpoints(5, zone="west", start=1)]
-    host = Host(settings(balancers=2, tenants=(), classes=(cheap, dear), prices=Prices(cross_zone=0.02)), entries)
-    (placement,) = host.balancer.placements
-    near = placement.local.limit
+    prices = Prices(cross_zone=0.02)
+    host = Host(settings(balancers=copies, tenants=(), classes=classes, prices=prices), entries)
+    near = host.balancer.placements[0].local.limit
     while near.in_flight < near.room(0.0):
         host.order("hold")
-    host.balancer.ratio.value = 0.1  # stress
-    call = host.order()
-    assert placement.remote.limit.in_flight == 1
+    host.balancer.ratio.value = 0.1
+    return host
+
+
+def test_a_cheap_call_goes_at_once_to_the_part_that_its_copy_has_elsewhere() -> None:
+    """Found on the long day of two deployments: refused for the stress of one endpoint, beside others at rest."""
+    host = under_stress(copies=2)
+    call = host.order("look")
+    assert host.balancer.placements[0].remote.limit.in_flight == 1
     assert host.answers(call) == []
 
 
 def test_a_cheap_call_is_refused_where_the_copys_whole_part_is_near() -> None:
     """With many copies the others' zones are for their own callers: what all send there at once would jam them."""
-    cheap, dear = replace(SAFE, credit=0.3), replace(KEYED, credit=1.0)
-    entries = [*endpoints(1), *endpoints(5, zone="west", start=1)]
-    host = Host(settings(balancers=6, tenants=(), classes=(cheap, dear), prices=Prices(cross_zone=0.02)), entries)
-    (placement,) = host.balancer.placements
-    near = placement.local.limit
-    while near.in_flight < near.room(0.0):
-        host.order("hold")
-    host.balancer.ratio.value = 0.1
-    assert host.answers(host.order()) == ["shed"]
+    host = under_stress(copies=6)
+    assert host.answers(host.order("look")) == ["shed"]
 
 
 def test_what_was_told_of_an_endpoint_is_void_once_another_process_answers() -> None:
