Changes told in doubt are never taken as the whole list

A watch that tells an older version makes the whole list owed (`pace.whole`), and `_take` treats what comes next as that list. A question in doubt that was out then asked for changes alone; its answer retired every endpoint that it did not name. Forced by a test: two endpoints of two were retired. At fault: `_take` ended the doubt only after it had returned for an older version. Also: a list in doubt that can't be taken in ended its task with an exception that nobody fetched.

Change: whatever the watch says ends the doubt first, and its evidence with it; such a list is logged and asked for again.

--- a/eiderhub/membership/doubt.py
+++ b/eiderhub/membership/doubt.py
@@ -30,7 +30,7 @@
         return len(self._refusing) >= REFUSING
 
     def dispelled(self) -> None:
-        """The watch has spoken: what refused before it did proves nothing of it."""
+        """The watch has spoken, or ended: what refused before proves nothing of it."""
         self._refusing.clear()
 
     def asked(self, now: int, news: bool) -> None:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -64,6 +64,8 @@
             self._beside = asyncio.get_running_loop().create_task(self._ask_beside(doubt))
 
     def _end_doubt(self) -> None:
+        if self.doubt is not None:
+            self.doubt.dispelled()
         if self._beside is not None:
             self._beside.cancel()
             self._beside = None
@@ -86,8 +88,9 @@
             self._stop()
             try:
                 self._take(listing)
-            finally:
-                self.turn(True)
+            except Exception as error:  # the new watch asks for it again
+                log.warning("discovery: %s: %s", type(error).__name__, error)
+            self.turn(True)
 
     def move(self, host: str, port: int) -> None:
         """Watch at another address; the last list stays in use until that has told all of its own.
@@ -115,6 +118,9 @@
                 await asyncio.sleep(pause_s)
 
     def _take(self, listing: Listing) -> None:
+        # The watch has spoken: no doubt is left. Nor may changes that were asked for before come in once the whole
+        # list is owed: they would be taken for it.
+        self._end_doubt()
         whole = listing.whole or self.pace.whole
         if not whole and listing.generation < self.generation:
             # Changes since a version that is not ours: what happened in between is told by the whole list alone.
@@ -124,10 +130,6 @@
         self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
         self.generation = listing.generation
         self.pace.answered()
-        # Its turn has not come yet, or its answer is not here: neither is needed any more.
-        self._end_doubt()
-        if self.doubt is not None:
-            self.doubt.dispelled()
 
     async def _ask(self) -> Listing:
         return await self._put(self._asker, self.pace.question())
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -26,6 +26,7 @@
 from eiderhub.sidecar.bounds import Bounds
 from eiderhub.sidecar.callers import Callers
 from eiderhub.sidecar.config import Address, Config
+from eiderhub.sidecar.discovery import Watcher
 from eiderhub.sidecar.host import Host
 from standins.consul import Consul, instance
 from standins.discovery import listing, row
@@ -255,6 +256,11 @@
         for fake in (self.discovery, *self.endpoints):
             fake.server.close()
 
+    @property
+    def watcher(self) -> Watcher:
+        assert self.host.watcher is not None
+        return self.host.watcher
+
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,15 +8,9 @@
 
 import pytest
 
-from eiderhub.sidecar.discovery import Watcher
 from tests.sidecar_support import Fake, Sidecar, all_go_to, listing, program, row, run
 
 
-def watcher_of(sidecar: Sidecar) -> Watcher:
-    assert sidecar.host.watcher is not None
-    return sidecar.host.watcher
-
-
 def test_watch_moves_and_takes_the_whole_list_of_the_new_address() -> None:
     """The versions of the new address are its own: a change after ours would never come."""
 
@@ -27,7 +21,7 @@
             await sidecar.discovery.next()
             other = await Fake().start()
             host, _, port = other.address.rpartition(":")
-            watcher_of(sidecar).move(host, int(port))
+            sidecar.watcher.move(host, int(port))
             await sidecar.discovery.ends.get()  # the old watch is closed
             asked = await other.next()
             assert asked.message.first == "GET /discovery/hosts HTTP/1.1"
@@ -49,7 +43,7 @@
             other = await Fake().start()
             host, _, port = other.address.rpartition(":")
             sidecar.host.balancer.ask_wait = 60_000_000  # as after a long outage of the old address
-            watcher_of(sidecar).move(host, int(port))
+            sidecar.watcher.move(host, int(port))
             (await other.next()).reply(503, b"")
             (await other.next()).reply(200, listing(4, True))
             await other.next()
@@ -61,7 +55,7 @@
     async def test() -> None:
         async with Sidecar() as sidecar:
             await sidecar.discovery.next()
-            watcher = watcher_of(sidecar)
+            watcher = sidecar.watcher
             for _ in range(3):  # in a row, before any has been answered
                 watcher.move(watcher.host, watcher.port)
             asked = await sidecar.discovery.next()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
 
 from eiderhub.membership import pace
 from eiderhub.membership.doubt import Doubt
-from eiderhub.sidecar.discovery import Watcher
 from tests.sidecar_support import Asked, Fake, Sidecar, all_go_to, listing, row, run
 
 LIST = listing(2, False)
@@ -103,8 +103,7 @@
         async with Sidecar() as sidecar:
             other = await Fake().start()
             host, _, port = other.address.rpartition(":")
-            assert sidecar.host.watcher is not None
-            sidecar.host.watcher.move(host, int(port))
+            sidecar.watcher.move(host, int(port))
             await other.next()
             again = await other.next()
             assert (again.connection, again.message.first) == (1, "GET /discovery/hosts HTTP/1.1")
@@ -129,11 +128,6 @@
     assert (await (await sidecar.client()).ask("look")).status == 503
 
 
-def watcher_of(sidecar: Sidecar) -> Watcher:
-    assert sidecar.host.watcher is not None
-    return sidecar.host.watcher
-
-
 def test_a_watch_whose_endpoints_refuse_is_asked_beside_and_replaced() -> None:
     """Found on join+mass at a site of our own: watches of up to 30 s had fallen silent, and 60% were replaced."""
 
@@ -168,7 +162,7 @@
             doubt.reply(*answer)
             assert await sidecar.discovery.ends.get() == doubt.connection
             await find_them_refusing(sidecar)
-            assert watcher_of(sidecar)._beside is None  # it was asked a moment ago
+            assert sidecar.watcher._beside is None  # it was asked a moment ago
             watch.reply(200, listing(2, False, row("s-9", fresh.address)))
             assert (await sidecar.discovery.next()).connection == watch.connection
             assert "s-9" in sidecar.host.upstream.pools
@@ -180,7 +174,7 @@
     async def test() -> None:
         async with Sidecar(endpoints=2) as sidecar:
             watch = await sidecar.discovery.next()
-            watcher = watcher_of(sidecar)
+            watcher = sidecar.watcher
             assert watcher.doubt is not None
             watcher.doubt.turn_us = 60_000_000
             await both_refuse(sidecar)
@@ -194,6 +188,51 @@
     run(test())
 
 
+def test_changes_told_in_doubt_are_not_the_whole_list_that_is_owed_meanwhile() -> None:
+    """What was asked for as changes crosses a version that is older: taken as the list, it would retire the rest."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            fresh = await Fake().start()
+            (await sidecar.discovery.next()).reply(200, listing(7, False))
+            watch = await sidecar.discovery.next()
+            await both_refuse(sidecar)
+            doubt = await sidecar.discovery.next()
+            watch.reply(200, listing(3, False))
+            whole = await sidecar.discovery.next()
+            assert whole.message.first == "GET /discovery/hosts HTTP/1.1"
+            doubt.reply(200, listing(8, False, row("s-9", fresh.address)))
+            assert await sidecar.discovery.ends.get() == doubt.connection
+            assert sidecar.host.upstream.pools.keys() == {"s-0", "s-1"}
+            whole.reply(200, listing(8, True, row("s-9", fresh.address)))
+            assert "after=8&" in (await sidecar.discovery.next()).message.first
+            assert sidecar.host.upstream.pools.keys() == {"s-9"}
+
+    run(test())
+
+
+def test_a_list_told_in_doubt_that_cannot_be_taken_in_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            await sidecar.discovery.next()
+            await both_refuse(sidecar)
+            doubt = await sidecar.discovery.next()
+            errors: list[object] = []
+            asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+
+            def fail(*_: object) -> None:
+                monkeypatch.undo()
+                raise RuntimeError("broken")
+
+            monkeypatch.setattr(sidecar.host.upstream, "retire", fail)
+            doubt.reply(200, listing(2, True))
+            assert "after=1&" in (await sidecar.discovery.next()).message.first
+            gc.collect()
+            assert errors == []
+
+    run(test())
+
+
 def test_an_end_of_the_watch_ends_its_doubt() -> None:
     async def test() -> None:
         async with Sidecar(endpoints=2) as sidecar:
@@ -204,7 +243,7 @@
             ended = {await sidecar.discovery.ends.get() for _ in range(2)}
             assert ended == {watch.connection, doubt.connection}
             await find_them_refusing(sidecar)
-            assert watcher_of(sidecar)._beside is None
+            assert sidecar.watcher._beside is None
 
     run(test())
 
@@ -213,7 +252,7 @@
     async def test() -> None:
         async with Sidecar(endpoints=2, Discovery="push") as sidecar:
             await both_refuse(sidecar)
-            assert watcher_of(sidecar)._beside is None
+            assert sidecar.watcher._beside is None
 
     run(test())
 
