Heavy loss between processes of the fleet is a test of its own

Need: the issue of the fleet's view names 30% loss for a minute among the cases that are each a test over several processes; it was one in virtual time and a row of the benchmark.

--- a/tests/fleet/test_rig.py
+++ b/tests/fleet/test_rig.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from benchmarks.fleet.__main__ import false_deaths
 from eiderhub.fleet.messages import Change, Codec, Entries, State, pack_address
 from standins.callers import Callers, Kind
 from standins.discovery import row
@@ -44,6 +45,21 @@
     assert '"event": "step"' in (tmp_path / "timeline.jsonl").read_text()
 
 
+def test_heavy_loss_between_processes_kills_nobody_for_long() -> None:
+    """Three in ten datagrams are lost for 120 periods; who is given up wrongly is taken back within 40."""
+
+    async def test() -> None:
+        async with Rig(8, 5, 2 * PERIOD_S) as rig:
+            await rig.settle()
+            since, steps = time.time(), draw("loss", 5, 8)
+            await rig.play(steps)
+            await rig.settle()
+            assert rig.events("suspect", since)  # the loss was felt
+            assert false_deaths(rig, steps, since)[1] == 0
+
+    play(test)
+
+
 def test_a_process_that_was_stopped_doubts_itself_and_not_the_rest() -> None:
     async def test() -> None:
         async with Rig(5, 1, PERIOD_S) as rig:
