--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -2,14 +2,16 @@
 
     python -m benchmarks.fleet settle [--members 24] [--scripts 5] [--period 0.1] [--timelines DIR]
     python -m benchmarks.fleet growth [--members 24 140 1000]
+    python -m benchmarks.fleet rest [--members 140 1000]
     python -m benchmarks.fleet evidence [--seeds 20]
     python -m benchmarks.fleet flood [--rounds 10]
 
 `settle` plays scripts drawn from seeds on processes of the real program, kind by kind: the time from the last fault
 until all live members hold one view, and members that were believed gone though they were there all the while.
-`growth` asks the same protocol in virtual time what it takes as the fleet grows. `evidence` pairs fleets with and
-without it, seed by seed; the intervals hold 95% of resampled means. What a script leaves unsettled makes the exit
-status 1. `flood` sends junk to one member and times its requests.
+`growth` asks the same protocol in virtual time what it takes as the fleet grows; `rest`, what a joint start leaves to
+be told, and what members send once nothing is. `evidence` pairs fleets with and without it, seed by seed; the intervals
+hold 95% of resampled means. What a script leaves unsettled makes the exit status 1. `flood` sends junk to one member
+and times its requests.
 """
 
 from __future__ import annotations
@@ -113,6 +115,31 @@
 # --- growth ---
 
 
+def traffic(world: World, seconds: float) -> tuple[float, float]:
+    """Datagrams and bytes that a member sends in a second, over so many."""
+    sent, bytes_, each = sum(world.sent.values()), sum(world.bytes.values()), seconds * len(world.members)
+    world.run(seconds)
+    return (sum(world.sent.values()) - sent) / each, (sum(world.bytes.values()) - bytes_) / each
+
+
+def rest(options: argparse.Namespace) -> int:
+    for count in options.members:
+        world = World(count, 1, Terms())
+        world.start_all(count)
+        joined = world.until(world.settled, 300)
+        if joined is None:
+            print(f"{count} members: not joined in 300 s", file=sys.stderr)
+            return 1
+        news = statistics.fmean(len(member._news) for member in world.members.values())
+        _, busy = traffic(world, 5)
+        for member in world.members.values():
+            member._news.clear()
+        rate, quiet = traffic(world, 10)
+        print(f"{count} members, joined in {joined:.1f} s; {news:.0f} pieces of news each: {busy:.0f} bytes a second;")
+        print(f"    with none {quiet:.0f} bytes and {rate:.2f} datagrams a second", flush=True)
+    return 0
+
+
 def growth(options: argparse.Namespace) -> int:
     columns = ("members", "joined s", "crash s", "healed s", "datagrams/s", "bytes/s", "and merging")
     print(" ".join(f"{column:>12}" for column in columns))
@@ -121,10 +148,7 @@
         world.start_all(count)
         joined = world.until(world.settled, 300)
         world.run(180)
-        sent, bytes_ = sum(world.sent.values()), sum(world.bytes.values())
-        world.run(10)
-        rate = (sum(world.sent.values()) - sent) / 10 / count
-        volume = (sum(world.bytes.values()) - bytes_) / 10 / count
+        rate, volume = traffic(world, 10)
         world.kill(1)
         crash = world.until(world.settled, 300)
         third = set(range(count // 3))
@@ -191,6 +215,9 @@
     two = commands.add_parser("growth")
     two.add_argument("--members", type=int, nargs="+", default=[24, 140, 1000])
     two.set_defaults(run=growth)
+    still = commands.add_parser("rest")
+    still.add_argument("--members", type=int, nargs="+", default=[140, 1000])
+    still.set_defaults(run=rest)
     three = commands.add_parser("evidence")
     three.add_argument("--members", type=int, nargs=1, default=[24])
     three.add_argument("--seeds", type=int, default=20)
