Log what became of requests, connections and lists, with the causes

The incident's logs could not tell when an instance had last asked discovery, or what it was answered: only failures were logged, without their duration or the pause after them, and lines over 20 a second vanished without a trace. Logged now: every list with its version and what drains or is removed, each failed request to discovery with its duration, number in a row and the pause that follows, the first answer after failures, and every 10 s the requests, refusals, attempts and closed connections by cause. The log says how many lines it left out. No decision changes; no line per request.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -15,7 +15,7 @@
 import math
 import random
 import zlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Mapping, Sequence
 
 from eiderhub.interface import (
@@ -28,6 +28,7 @@
     LoadReport,
     Outcome,
     Readiness,
+    RefusalReason,
     RequestClass,
     Settings,
 )
@@ -763,6 +764,7 @@
         self.may_hedge = settings.limits.hedging and settings.layer == 0
         self.handshake = min(1.0, HANDSHAKE_CALLS * settings.prices.handshake)  # in calls in flight
         self.connection_kept_us = int(CONNECTION_KEPT_SHARE * settings.limits.conn_idle_us)
+        self.refusals: Counter[RefusalReason] = Counter()  # for the host's statistics
         self.started = False
 
     # --- lifecycle and discovery ---
@@ -965,22 +967,22 @@
             else 0
         )
         if expires_in_us <= 0:
-            self._refuse(new)
+            self._refuse(new, RefusalReason.NO_TIME_LEFT)
             return
         if not new.request_class.late_worth_share:
             # A retry by the client that can no longer be answered within the objective is not worth sending.
             usual = self.candidates[class_name].local.limit.median_latency * MIN_TIME_LEFT_SHARE
             new.useful_until = min(new.useful_until, now_us + new.request_class.objective_us - age)
             if new.useful_until - now_us <= new.request_class.objective_us * usual:
-                self._refuse(new)
+                self._refuse(new, RefusalReason.NO_TIME_LEFT)
                 return
         low_priority = self.worth[new.priority] < LOW_PRIORITY_WORTH
         outermost = self.settings.layer == 0
         if outermost and over_share and (stress > 0 or self.saturation > SATURATION_THRESHOLD):
-            self._refuse(new)
+            self._refuse(new, RefusalReason.OVER_SHARE)
             return
         if outermost and self.queue.refuses_arrivals(now_us):
-            self._refuse(new)
+            self._refuse(new, RefusalReason.QUEUE_SLOW)
             return
         if not over_share:
             bucket.tokens -= stressed_price_ru
@@ -991,7 +993,7 @@
         if sent_at_once:
             return
         if outermost and low_priority and (stress > 0 or self.queue.count):
-            self._refuse(new)
+            self._refuse(new, RefusalReason.LOW_PRIORITY)
             return
         self._enqueue(now_us, new)
 
@@ -1000,7 +1002,7 @@
         share = QUEUE_TIME_SHARE_INNER if self.settings.layer else QUEUE_TIME_SHARE
         until = min(now + int(share * call.request_class.objective_us), call.useful_until - ANSWER_MARGIN_US)
         if until <= now:
-            self._refuse(call)
+            self._refuse(call, RefusalReason.NO_TIME_LEFT)
             return
         self.queue.push(call, until)
         self._schedule_sweep(now)
@@ -1017,7 +1019,7 @@
         self._send_queued(now)
         while (call := queue.next_expired(now)) is not None:
             queue.remove(call)
-            self._refuse(call)
+            self._refuse(call, RefusalReason.QUEUE_TIMEOUT)
         queue.update_sojourn(now)
         while self.pending_hedges and self.pending_hedges[0][0] <= now:
             self._hedge(now, self.pending_hedges.popleft()[1])
@@ -1053,8 +1055,9 @@
                     break
                 queue.remove(call)
 
-    def _refuse(self, call: Call) -> None:
+    def _refuse(self, call: Call, reason: RefusalReason) -> None:
         """Give the final answer without a result: `shed` where a retry is harmless, else `surrender`."""
+        self.refusals[reason] += 1
         if may_refuse(
             call.request_class.effect,
             call.request_class.dedup_scope,
@@ -1451,7 +1454,7 @@
                 if pool.subset.members and (endpoint := self._pick_endpoint(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
                     return
-        self._refuse(call)
+        self._refuse(call, RefusalReason.ATTEMPT_FAILED)
 
     def hearsay(self, now_us: int, factors: Mapping[str, float]) -> None:
         """Take the traffic factors from peer reports, in 0..1 by endpoint id.
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -42,6 +42,17 @@
     NOT_EXECUTED = 80  # the request did not run, and this says nothing about the endpoint's health
 
 
+class RefusalReason(Enum):
+    """Why an instance gave a request a final answer without a result. The values appear in the log."""
+
+    NO_TIME_LEFT = "no time left"  # to be answered within the deadline or the latency objective
+    OVER_SHARE = "tenant over its share"  # while capacity is scarce
+    QUEUE_SLOW = "queue not draining"  # calls wait in it for longer than the target
+    LOW_PRIORITY = "low priority"  # not sent at once, under stress or behind a queue
+    QUEUE_TIMEOUT = "time in the queue is over"
+    ATTEMPT_FAILED = "attempt failed"  # and another one is not allowed, not useful or not possible
+
+
 class LoadReport(NamedTuple):
     """Load that an endpoint reports about itself along with a reply."""
 
--- a/eiderhub/membership/endpoint_list.py
+++ b/eiderhub/membership/endpoint_list.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from eiderhub.interface import Endpoint, Readiness
 from eiderhub.sidecar.clock import UNIX_OFFSET_US
 
+MAX_NAMED_ENDPOINTS = 8  # of each state, in a line of the log
+
 
 class ListedEndpoint(NamedTuple):
     """One entry: the endpoint as the decision module knows it, and the address it listens on."""
@@ -60,3 +63,17 @@
         return EndpointList(int(document["generation"]), bool(document["reset"]), entries)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ValueError(f"not a list of endpoints ({type(error).__name__}: {error})") from None
+
+
+def describe_entries(entries: Iterable[ListedEndpoint]) -> str:
+    """Return the entries by state for the log: counts, and the first ids that are draining or removed."""
+    ids: dict[Readiness, list[str]] = {state: [] for state in Readiness}
+    for entry in entries:
+        ids[entry.endpoint.readiness].append(entry.endpoint.id)
+    parts = [f"{len(ids[Readiness.READY])} ready"]
+    for state in (Readiness.DRAINING, Readiness.REMOVED):
+        named = ids[state][:MAX_NAMED_ENDPOINTS]
+        more = len(ids[state]) - len(named)
+        listed = " ".join(named) + (f" and {more} more" if more else "")
+        parts.append(f"{len(ids[state])} {state.value}" + (f" ({listed})" if listed else ""))
+    return ", ".join(parts)
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -18,6 +18,7 @@
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load, needs_restart
 from eiderhub.sidecar.host import Host
+from eiderhub.sidecar.statistics import StatisticsLogger
 
 # New connections are accepted for this long after SIGTERM, since the front end opens some for up to 0.4 s.
 ACCEPT_PERIOD_S = 0.6
@@ -34,7 +35,10 @@
 
 
 class RateLimitFilter(logging.Filter):
-    """Passes at most `MAX_LINES_PER_S` lines a second: writing to a log that is full would block every request."""
+    """Passes at most `MAX_LINES_PER_S` lines a second: writing to a log that is full would block every request.
+
+    The first line after a second with more lines says how many were left out.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -43,7 +47,10 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         if int(record.created) != self.current_second:
+            left_out = self.line_count - MAX_LINES_PER_S
             self.current_second, self.line_count = int(record.created), 0
+            if left_out > 0:
+                record.msg, record.args = f"{record.getMessage()} ({left_out} lines before it left out)", ()
         self.line_count += 1
         return self.line_count <= MAX_LINES_PER_S
 
@@ -175,6 +182,8 @@
     reloader = Reloader(host, config, operator)
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     callers = Callers(config.bounds.caller_connections, host.max_deadline_s, host.budget)
+    host.statistics.closed_connections = callers.closed_connections
+    statistics = StatisticsLogger(host.statistics, host.describe_list)
     server = Server(host, callers)
     await server.bind(config.listen.host, config.listen.port)
     listeners = [server.listener]
@@ -197,7 +206,7 @@
     if fleet is not None:
         fleet.start()
         reloader.on_reload = lambda new_config: fleet.adopt(new_config.fleet.build)
-    coroutines = (host.upstream.sweep(), callers.watch_timeouts(), log_loop_lag())
+    coroutines = (host.upstream.sweep(), callers.watch_timeouts(), log_loop_lag(), statistics.run())
     background = [loop.create_task(coroutine) for coroutine in coroutines]
     # Objects that live until the end need not be traversed again: a full collection delays every request.
     gc.collect()
@@ -214,6 +223,7 @@
         consul.stop()
     for task in background:
         task.cancel()
+    statistics.log_now()
 
 
 def _load_config(operator: str | None) -> Config:
--- a/eiderhub/sidecar/callers.py
+++ b/eiderhub/sidecar/callers.py
@@ -5,10 +5,12 @@
 import asyncio
 import logging
 import select
+from collections import Counter
 from typing import cast
 
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.resource_limits import ByteBudget
+from eiderhub.sidecar.statistics import CloseReason
 
 # From connecting to the first complete request. The caller must get an error or a close within 3 s.
 FIRST_REQUEST_TIMEOUT_S = 2.6
@@ -35,6 +37,7 @@
         self.reading_paused = False  # while reading is paused, the end of the connection is not reported either
         self.write_blocked = False  # the caller does not read its answers
         self.reserved_bytes = 0  # of the budget, for bodies
+        self.close_reason: CloseReason | None = None  # the first one, set before the transport is closed
 
     # --- implemented by each protocol ---
 
@@ -86,6 +89,7 @@
         asyncio.get_running_loop().call_soon(self.resume)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.callers.closed_connections[self.close_reason or CloseReason.CALLER_LEFT] += 1
         self.callers.remove(self)
         self._disconnect()
 
@@ -94,6 +98,10 @@
         self.release_budget()
         self.on_disconnect()
 
+    def note_close(self, reason: CloseReason) -> None:
+        """Record why the connection is about to be closed; the first reason counts."""
+        self.close_reason = self.close_reason or reason
+
     def set_reading(self, enabled: bool) -> None:
         """Pause or resume reading from the socket."""
         if not self.transport.is_closing():
@@ -136,6 +144,7 @@
 
         Closing a socket with unread input resets it, and an answer on its way would be lost.
         """
+        self.note_close(CloseReason.CALLER_LEFT if self.disconnected else CloseReason.FINISHED)
         self.input_closed = True
         self.state_since_us = now_us()  # `check_timeouts` measures from here: the answer needs time to be sent
         if unread and self.transport.can_write_eof() and not self.transport.is_closing():
@@ -159,12 +168,19 @@
         elif self.receiving:
             # An established caller may write slowly, but no longer than the longest deadline of an answer.
             if elapsed_s > (self.callers.max_deadline_s if self.established else FIRST_REQUEST_TIMEOUT_S):
+                self.note_close(CloseReason.INCOMPLETE_REQUEST)
                 self.on_read_timeout()
         elif elapsed_s > (self.idle_timeout_s if self.established else FIRST_REQUEST_TIMEOUT_S) and (
             self.write_blocked or not self.has_unread_input()
         ):
+            self.note_close(self._idle_close_reason())
             self.transport.abort()
 
+    def _idle_close_reason(self) -> CloseReason:
+        if self.write_blocked:
+            return CloseReason.UNREAD_ANSWER
+        return CloseReason.IDLE if self.established else CloseReason.NO_FIRST_REQUEST
+
     def has_unread_input(self) -> bool:
         """Return whether the kernel holds unread input, such as a request that would fail if this side closed now."""
         return self._poll(select.POLLIN)
@@ -190,6 +206,7 @@
         self.connections: dict[BaseCallerConnection, None] = {}
         self.unestablished: dict[BaseCallerConnection, None] = {}  # without a valid request yet, oldest first
         self.idle: dict[BaseCallerConnection, None] = {}  # between requests, the longest idle first
+        self.closed_connections: Counter[CloseReason] = Counter()
         self.open_request_ids: set[bytes] = set()  # of requests without an answer yet
         self.draining = False  # the sidecar reports that it is not ready for new callers
         self.closing = False  # connections are closed after their next answer
@@ -213,6 +230,7 @@
             evicted = evicted or connection
             self.remove(evicted)
             evicted.input_closed = True
+            evicted.note_close(CloseReason.OVER_LIMIT if evicted is connection else CloseReason.EVICTED)
             evicted.transport.abort()
             if evicted is connection:
                 return
@@ -259,6 +277,7 @@
             ):
                 continue
             if not connection.has_unread_input():
+                connection.note_close(CloseReason.DRAINED)
                 connection.transport.close()
 
     def has_unfinished_work(self) -> bool:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -8,7 +8,12 @@
 from collections.abc import Callable
 
 from eiderhub.interface import ListForm
-from eiderhub.membership.endpoint_list import EndpointList, ListedEndpoint, read_endpoint_list
+from eiderhub.membership.endpoint_list import (
+    EndpointList,
+    ListedEndpoint,
+    describe_entries,
+    read_endpoint_list,
+)
 from eiderhub.membership.list_client import ListClient
 from eiderhub.membership.poll_schedule import RECHECK_TIMEOUT_S, PollRequest, PollSchedule
 from eiderhub.membership.watch_suspicion import WatchSuspicion
@@ -44,6 +49,8 @@
         self._task: asyncio.Task[None] | None = None
         self._client = ListClient(MAX_LIST_BYTES)
         self._recheck_task: asyncio.Task[None] | None = None  # fetches the list on a separate connection
+        self._last_answer_us = now_us()  # until the first answer, when the watcher was created
+        self._failed_requests = 0  # since the last answer
 
     def set_active(self, active: bool) -> None:
         """Start the watch, or end it."""
@@ -67,6 +74,12 @@
         if suspicion.connection_refused(endpoint, now_us()):
             self._recheck_task = asyncio.get_running_loop().create_task(self._recheck(suspicion))
 
+    def describe_state(self) -> str:
+        """Return the list's version and how current it is, for the log."""
+        age_s = (now_us() - self._last_answer_us) / 1e6
+        failures = f", {self._failed_requests} requests failed since" if self._failed_requests else ""
+        return f"list of version {self.generation}, last answer of discovery {age_s:.1f} s ago{failures}"
+
     def _clear_suspicion(self) -> None:
         if self.suspicion is not None:
             self.suspicion.clear()
@@ -112,18 +125,42 @@
 
     async def _run(self) -> None:
         while True:
+            sent_us = now_us()
             try:
                 self._apply(await self._poll())
             except Exception as error:  # after any error the watch goes on, or the list would stay out of date
-                log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._client.close_connection()
                 pause_s = self.schedule.failed(isinstance(error, TimeoutError))
+                self._log_failure(error, sent_us, pause_s)
                 if pause_s is None:
                     self._task = None
                     self.deliver(ListForm.FAILED, [])
                     return
                 await asyncio.sleep(pause_s)
 
+    def _log_failure(self, error: Exception, sent_us: int, pause_s: float | None) -> None:
+        self._failed_requests += 1
+        log.warning(
+            "discovery: %s: %s; failure %d in a row, after %.2f s; %s",
+            type(error).__name__,
+            error,
+            self._failed_requests,
+            (now_us() - sent_us) / 1e6,
+            "the module decides when to ask again" if pause_s is None else f"the next request in {pause_s:.2f} s",
+        )
+
+    def _log_list(self, endpoint_list: EndpointList, is_full: bool) -> None:
+        if self._failed_requests:
+            log.info("discovery: answers again; %s", self.describe_state())
+        if endpoint_list.entries or is_full:
+            log.info(
+                "discovery: version %d after %d, %s: %s",
+                endpoint_list.generation,
+                self.generation,
+                "the full list" if is_full else "changes",
+                describe_entries(endpoint_list.entries),
+            )
+
     def _apply(self, endpoint_list: EndpointList) -> None:
         # The watch has answered, so the suspicion is cleared. This also cancels a fetch of changes, whose answer would
         # be mistaken for the full list if that is needed from now on.
@@ -135,7 +172,9 @@
             self.schedule.needs_full_list = True
             return
         self.deliver(ListForm.FULL if is_full else ListForm.DELTA, endpoint_list.entries)
+        self._log_list(endpoint_list, is_full)
         self.generation = endpoint_list.generation
+        self._last_answer_us, self._failed_requests = now_us(), 0
         self.schedule.succeeded()
 
     async def _poll(self) -> EndpointList:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -24,6 +24,7 @@
 from eiderhub.sidecar.discovery import Watcher
 from eiderhub.sidecar.protocol_interface import NO_REPLY, Caller, FailureReason, Payload, Reply
 from eiderhub.sidecar.resource_limits import ANSWER_MARGIN_US, ByteBudget
+from eiderhub.sidecar.statistics import RequestStatistics
 from eiderhub.sidecar.upstream import Attempt, Upstream
 
 AGENT_WAIT_US = 2_000_000  # a new process waits this long for the agent's list before it serves from the known list
@@ -80,7 +81,7 @@
         self.settings = settings
         self.max_deadline_s = max(c.deadline_us for c in settings.classes) / 1e6
         self.requests: dict[str, Request] = {}
-        self.accepted_count = 0
+        self.statistics = RequestStatistics()
         self.has_listed_endpoints = False  # whether any list has contained an endpoint
         # Whether the agent's list has arrived or is no longer waited for; only pushed lists come from an agent.
         self.agent_wait_over = settings.discovery is not Discovery.PUSH
@@ -98,6 +99,7 @@
         self.outcome_listener: Callable[[str, Outcome], None] | None = None  # also called when an attempt ends
         self.watcher = self._new_watcher(config) if config.discovery else None
         self.balancer = Balancer(settings, config.seed, self)
+        self.statistics.decisions = self.balancer.refusals
         self.known_list = config.known
 
     def _new_watcher(self, config: Config) -> Watcher:
@@ -195,13 +197,14 @@
 
     def accept(self, request: Request) -> None:
         """Accept a complete request: from here on it gets exactly one final answer."""
+        self.statistics.accepted += 1
         if self.closing:
             request.answered = True
+            self.statistics.refused += 1
             request.caller.send_refusal(0)
             return
-        self.accepted_count += 1
         # The caller's request id is not used: a reused id would collide with a call that the module still tracks.
-        call_id = request.call_id = f"{self.accepted_count:016x}"
+        call_id = request.call_id = f"{self.statistics.accepted:016x}"
         self.requests[call_id] = request
         request.deadline_timer = Timer(request.answer_due_us, partial(self._on_deadline, request))
         remaining_us = request.deadline_us - now_us()
@@ -213,6 +216,7 @@
     def cancel_request(self, request: Request) -> None:
         """Drop a request whose caller has disconnected: no answer and no further attempt is sent."""
         if not request.answered:
+            self.statistics.cancelled += 1
             self._mark_answered(request)
             self._notify(self.balancer.expired, request.call_id)
 
@@ -244,11 +248,19 @@
         """
         if self._claim_answer(request):
             if reason is None:
-                request.caller.send_refusal(0)
+                self._refuse(request, 0)
             else:
-                request.caller.send_failure(reason)
+                self._fail(request, reason)
             self._notify(self.balancer.expired, request.call_id)
 
+    def _refuse(self, request: Request, wait_us: int) -> None:
+        self.statistics.refused += 1
+        request.caller.send_refusal(wait_us)
+
+    def _fail(self, request: Request, reason: FailureReason) -> None:
+        self.statistics.failed[reason] += 1
+        request.caller.send_failure(reason)
+
     def _on_deadline(self, request: Request) -> None:
         """Time out all attempts and send the final answer now, also for a call that the module still queues."""
         for attempt in list(request.attempts):
@@ -277,7 +289,9 @@
 
     def _on_attempt_end(self, request: Request, attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
         request.pending_attempts -= 1
+        self.statistics.attempts[outcome] += 1
         if outcome is Outcome.OK and reply is not None and self._claim_answer(request):
+            self.statistics.served += 1
             request.caller.send_reply(reply)
         if request.answered and not request.pending_attempts:
             self._discard(request)
@@ -315,6 +329,7 @@
             partial(self._attempt_data, request, until_us),
             partial(self._on_attempt_end, request),
         )
+        self.statistics.retries += attempt.number > 0
         request.attempts.append(attempt)
         request.pending_attempts += 1
         if request.answered or attempt.number >= self.settings.limits.max_attempts:
@@ -333,14 +348,13 @@
     def shed(self, call_id: str, wait_us: int) -> None:
         request = self.requests.get(call_id)
         if request is not None and self._claim_answer(request):
-            request.caller.send_refusal(wait_us)
+            self._refuse(request, wait_us)
 
     def surrender(self, call_id: str) -> None:
         request = self.requests.get(call_id)
         if request is not None and self._claim_answer(request):
-            request.caller.send_failure(
-                FailureReason.TIMED_OUT if now_us() >= request.answer_due_us else FailureReason.ENDPOINT_ERROR
-            )
+            is_late = now_us() >= request.answer_due_us
+            self._fail(request, FailureReason.TIMED_OUT if is_late else FailureReason.ENDPOINT_ERROR)
 
     def timer(self, delay_us: int, mark: str) -> None:
         Timer(now_us() + delay_us, partial(self._notify, self.balancer.wake, mark))
@@ -367,6 +381,11 @@
 
     # --- discovery ---
 
+    def describe_list(self) -> str:
+        """Return how many endpoints are ready, and how current the platform's list is, for the log."""
+        ready = f"{len(self.upstream.pools)} endpoints ready"
+        return ready if self.watcher is None else f"{ready}, {self.watcher.describe_state()}"
+
     def on_list(self, form: ListForm, entries: list[ListedEndpoint]) -> None:
         """Apply an endpoint list or a change of it.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -89,7 +89,7 @@
             client.writer.write(raw.encode("latin-1"))
             assert (await client.answer()).status == status
             assert await client.reader.read() == b""
-            assert sidecar.host.accepted_count == 0
+            assert sidecar.host.statistics.accepted == 0
             assert sidecar.endpoints[0].connections == 0
             assert sidecar.host.budget.used == 0
 
@@ -212,7 +212,7 @@
             second.send(body=b"x" * 700)
             answer = await second.answer()
             assert (answer.status, answer.headers["retry-after"]) == (503, "1")
-            assert sidecar.host.accepted_count == 1
+            assert sidecar.host.statistics.accepted == 1
             received.reply()
             assert (await first.answer()).status == 200
             first.send(body=b"x" * 700)
@@ -267,7 +267,7 @@
         async with Sidecar() as sidecar:
             client = await sidecar.client()
             assert (await client.request(class_name, **changes)).status == status
-            assert sidecar.host.accepted_count == 0
+            assert sidecar.host.statistics.accepted == 0
             assert sidecar.endpoints[0].connections == 0
 
     run(test())
@@ -279,7 +279,7 @@
             client = await sidecar.client()
             client.writer.write(b"GET /pay HTTP/1.1\r\nReq-Id: 1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9\r\n\r\n")
             assert (await client.answer()).status == 405
-            assert sidecar.host.accepted_count == 0
+            assert sidecar.host.statistics.accepted == 0
 
     run(test())
 
--- a/tests/test_smuggling.py
+++ b/tests/test_smuggling.py
@@ -60,7 +60,7 @@
             client.writer.write(raw.encode())
             assert (await client.answer()).status == 400
             assert await client.reader.read() == b""
-            assert sidecar.host.accepted_count == 0
+            assert sidecar.host.statistics.accepted == 0
             assert sidecar.endpoints[0].connections == 0
 
     run(test())
