Poll Consul again within 6 s, however long it was down

Same class as the incident's fault: after failures the pause grew to 8 s, up to 12 s with jitter, so that an endpoint that began to drain during an outage of Consul got calls for up to 14 s after its return. The longest pause is now 2 s before jitter; with a request that is not answered that is 5 s. The added test failed before. Found by the search for the same mistake; not seen in service.

--- a/eiderhub/membership/consul/query.py
+++ b/eiderhub/membership/consul/query.py
@@ -25,7 +25,9 @@
 MAX_INDEX = 1 << 63
 MIN_INTERVAL_US = 100_000  # between two requests, however soon responses come
 MAX_INTERVAL_US = 2_000_000  # while responses without a change keep coming at once
-BACKOFF_US = (250_000, 8_000_000)  # first and longest
+# First and longest, before jitter. An endpoint may be draining for as long as a pause, a request that an agent does not
+# answer, and an answer together last, once Consul is back: within the 6 s of the platform's own discovery.
+BACKOFF_US = (250_000, 2_000_000)
 EXTRA_TIMEOUT_US = 2_000_000  # beyond the time that Consul may wait
 CONSISTENCY_MODES = ("default", "consistent", "stale", "cached")
 
--- a/tests/membership/test_query.py
+++ b/tests/membership/test_query.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from eiderhub.membership.consul.query import BACKOFF_US, MAX_INTERVAL_US, MIN_INTERVAL_US, Options, Query
+from eiderhub.membership.consul.query import (
+    BACKOFF_US,
+    EXTRA_TIMEOUT_US,
+    MAX_INTERVAL_US,
+    MIN_INTERVAL_US,
+    Options,
+    Query,
+)
 
 S = 1_000_000
 
@@ -90,3 +97,12 @@
     assert hosts == ["10.0.0.1", "10.0.0.2"] * 4
     assert pauses[0] == BACKOFF_US[0] and pauses == sorted(pauses) and pauses[-1] == BACKOFF_US[1]
     assert make_query().on_failure(0.0) < make_query().on_failure(1.0)
+
+
+def test_however_long_consul_was_down_the_next_request_comes_within_six_seconds() -> None:
+    """Guards against a pause that outlasts the time within which a draining endpoint has to be known."""
+    query = make_query()
+    for _ in range(20):
+        assert query.next_request(0).timeout_us == EXTRA_TIMEOUT_US  # a request after a failure does not wait
+        pause_us = query.on_failure(1.0)
+    assert EXTRA_TIMEOUT_US + pause_us < 6_000_000
