Call a failing discovery in slots of a period that the 6 s bound gives

Cause: the pause after a failed call was the decision module's exponential back-off, up to 12 s, while a change counts as notified 6 s after discovery could be reached again. The bound was known to poll_schedule.py, which left the pause to the module. Change: an instance calls in its own slot of a period just shorter than the bound, so that all calls are spread evenly; a call that failed at once is repeated twice. Shorter pauses for all were tried first and kept a crowded discovery from answering any instance for 10 s (trial). A property over outages of any length and kind, and a discovery that serves one call after another, failed before. Two tests asserted the fault itself (a refused watch and exhausted rechecks are left to the module; a new address is polled every 1.5 s for ever); tests of the bound replace them.

--- a/eiderhub/membership/poll_schedule.py
+++ b/eiderhub/membership/poll_schedule.py
@@ -3,7 +3,7 @@
 The platform's rule for a watch that stops answering: a change that it missed counts as notified 6 s after the silence
 began, or 2 s after the end of the requested wait, whichever is later. Once the settings' grace has passed after that,
 nothing new may be sent to a draining endpoint. Within that time the silence must therefore be detected and the list be
-requested again, with time left for a slow answer.
+requested again, with time left for a slow answer. `retry_slots.py` does the same for a discovery that fails.
 """
 
 from __future__ import annotations
@@ -11,6 +11,8 @@
 import random
 from typing import NamedTuple
 
+from eiderhub.membership.retry_slots import RetrySlots
+
 # Shortest and longest wait of a watch. Discovery serves its requests one after another, so they should be few. Each
 # instance has its own wait between these: if all watches fall silent at once, their new requests are spread.
 WATCH_WAIT_MS = (10_000, 30_000)
@@ -18,9 +20,15 @@
 MAX_RECHECKS = 3  # requests without a wait that follow a silent watch; each is answered or fails
 RECHECK_TIMEOUT_S = 1.5  # a request that is given up loses its position in discovery's queue
 REFUSED_PAUSE_S = 0.25  # pause after a recheck that was refused
+# How late the answer of a watch may be that follows a failed request: discovery itself fails a request that has been
+# queued for 2 s. The rest of the period between two requests is the watch's wait, so that a discovery that does not
+# answer at all is called once in a period too.
+REOPENED_SLACK_S = 2.4
+MIN_REOPENED_WAIT_S = 0.5
 FULL_LIST_TIMEOUT_S = 2.5  # after a reload all instances request the full list at once and are served one by one
 # First and longest pause until the full list has come: it counts as notified 4 s after SIGHUP.
 FULL_LIST_PAUSE_S = (0.25, 1.0)
+MAX_SOON_FULL_LISTS = 3  # failed requests after which the new address is taken to be down, not crowded
 MIN_GRACE_US = 250_000  # with a shorter one the requests to an agent would follow each other without a pause
 AGENT_WAIT_SHARE = 0.4  # of the grace, the wait of a watch of a local agent: its answer counts as notified at once
 AGENT_TIMEOUT_SHARE = 0.25  # of the grace, the timeout beyond that wait, and the longest pause after a failure
@@ -53,6 +61,9 @@
         self.needs_full_list = False  # the address or its versions are new, so changes would not be enough
         self._rechecks = 0  # requests since a watch fell silent
         self._failures = 0  # in a row
+        self._sent_us = 0  # when the last request was sent
+        self._watch_was_open = False  # whether the last request follows an answer
+        self._slots = RetrySlots(offset, self.grace_s, poll_interval_us / 1e6, rng)
 
     def for_new_address(self) -> PollSchedule:
         """Return a schedule for another address, which starts with the full list."""
@@ -62,8 +73,14 @@
         other.needs_full_list = True
         return other
 
-    def next_poll(self) -> PollRequest:
-        """Return the request to send next."""
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last request has failed, so that the list may be out of date."""
+        return self._failures > 0
+
+    def next_poll(self, now_us: int) -> PollRequest:
+        """Return the request to send now."""
+        self._sent_us = now_us
         if self.needs_full_list:
             return PollRequest(True, 0, self._agent_timeout_s if self.uses_local_agent else FULL_LIST_TIMEOUT_S)
         if self.uses_local_agent:
@@ -71,6 +88,9 @@
             return PollRequest(False, int(wait_s * 1000), wait_s + self._agent_timeout_s)
         if self._rechecks:
             return PollRequest(False, 0, RECHECK_TIMEOUT_S)
+        if self._failures:
+            wait_s = max(MIN_REOPENED_WAIT_S, self._slots.period_s - REOPENED_SLACK_S)
+            return PollRequest(False, int(wait_s * 1000), wait_s + REOPENED_SLACK_S)
         # A watch that fails at its end leaves a list as old as its wait, and a list may be used for four intervals.
         min_wait, max_wait = (
             min(wait, part * self.poll_interval_us // 1000) for wait, part in zip(WATCH_WAIT_MS, (1, 3), strict=True)
@@ -86,21 +106,31 @@
         """Record an answer that was taken."""
         self.needs_full_list = False
         self._rechecks = self._failures = 0
+        self._watch_was_open = True
+        self._slots.reset()
 
-    def failed(self, timed_out: bool) -> float | None:
-        """Return the pause before the next request, or None if the watch has ended and the caller has to back off.
-
-        The watches of all instances may time out or be refused at once. Each instance therefore rechecks only a few
-        times and then falls back to the decision module's backoff.
-        """
+    def failed(self, now_us: int, timed_out: bool) -> float:
+        """Return the seconds until the next request, after the last one has failed."""
         self._failures += 1
-        if self.needs_full_list or self.uses_local_agent:
-            first, longest = (
-                (self._agent_timeout_s / 4, self._agent_timeout_s) if self.uses_local_agent else FULL_LIST_PAUSE_S
-            )
-            return min(first * 2.0 ** min(self._failures - 1, 10), longest) * self.rng.uniform(0.5, 1.5)
-        if (timed_out or self._rechecks) and self._rechecks < MAX_RECHECKS:
+        watch_was_open, self._watch_was_open = self._watch_was_open, False
+        if self.uses_local_agent:
+            return self._growing_pause(self._agent_timeout_s / 4, self._agent_timeout_s)
+        if self.needs_full_list:
+            if self._failures <= MAX_SOON_FULL_LISTS:
+                return self._growing_pause(*FULL_LIST_PAUSE_S)
+        elif self._may_recheck(timed_out):
             self._rechecks += 1
             return 0.0 if timed_out else REFUSED_PAUSE_S * self.rng.uniform(0.5, 1.5)
-        self._rechecks = self._failures = 0
-        return None
+        self._rechecks = 0
+        return self._slots.pause_after_failure(now_us, self._sent_us, watch_was_open)
+
+    def _growing_pause(self, first_s: float, longest_s: float) -> float:
+        return min(first_s * 2.0 ** min(self._failures - 1, 10), longest_s) * self.rng.uniform(0.5, 1.5)
+
+    def _may_recheck(self, timed_out: bool) -> bool:
+        """Return whether to request the list at once, since a watch has fallen silent and discovery may be working.
+
+        The watches of all instances may time out at once, so each instance rechecks only a few times.
+        """
+        is_silent_watch = timed_out and self._failures == 1
+        return (is_silent_watch or self._rechecks > 0) and self._rechecks < MAX_RECHECKS
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -26,9 +26,8 @@
 class Watcher:
     """Keeps one watch open while it is active, and delivers the lists that it receives.
 
-    With polled discovery, a watch that fails ends, and the decision module decides when to start it again. A watch
-    that times out is first reopened here, because a poll by the module would come too late. If a watch is under
-    suspicion, the list is fetched on a separate connection; the watch is kept unless it has missed a version.
+    A request that fails is followed by another one, when the schedule says. If a watch is under suspicion, the list is
+    fetched on a separate connection; the watch is kept unless it has missed a version.
     """
 
     def __init__(
@@ -69,8 +68,10 @@
     def on_connection_refused(self, endpoint: str) -> None:
         """Note that a listed endpoint has refused a connection, which may put the watch under suspicion."""
         suspicion = self.suspicion
-        if suspicion is None or self._task is None or self._recheck_task is not None or self.schedule.needs_full_list:
+        if suspicion is None or self._task is None or self._recheck_task is not None:
             return
+        if self.schedule.needs_full_list or self.schedule.is_failing:
+            return  # there is no open watch to be checked
         if suspicion.connection_refused(endpoint, now_us()):
             self._recheck_task = asyncio.get_running_loop().create_task(self._recheck(suspicion))
 
@@ -130,23 +131,20 @@
                 self._apply(await self._poll())
             except Exception as error:  # after any error the watch goes on, or the list would stay out of date
                 self._client.close_connection()
-                pause_s = self.schedule.failed(isinstance(error, TimeoutError))
+                pause_s = self.schedule.failed(now_us(), isinstance(error, TimeoutError))
                 self._log_failure(error, sent_us, pause_s)
-                if pause_s is None:
-                    self._task = None
-                    self.deliver(ListForm.FAILED, [])
-                    return
+                self.deliver(ListForm.FAILED, [])
                 await asyncio.sleep(pause_s)
 
-    def _log_failure(self, error: Exception, sent_us: int, pause_s: float | None) -> None:
+    def _log_failure(self, error: Exception, sent_us: int, pause_s: float) -> None:
         self._failed_requests += 1
         log.warning(
-            "discovery: %s: %s; failure %d in a row, after %.2f s; %s",
+            "discovery: %s: %s; failure %d in a row, after %.2f s; the next request in %.2f s",
             type(error).__name__,
             error,
             self._failed_requests,
             (now_us() - sent_us) / 1e6,
-            "the module decides when to ask again" if pause_s is None else f"the next request in {pause_s:.2f} s",
+            pause_s,
         )
 
     def _log_list(self, endpoint_list: EndpointList, is_full: bool) -> None:
@@ -178,7 +176,7 @@
         self.schedule.succeeded()
 
     async def _poll(self) -> EndpointList:
-        return await self._fetch(self._client, self.schedule.next_poll())
+        return await self._fetch(self._client, self.schedule.next_poll(now_us()))
 
     async def _fetch(self, client: ListClient, poll_request: PollRequest) -> EndpointList:
         path = "/discovery/hosts"
