Prefer endpoints that served lately while discovery fails and the list is old

Discovery took 20 calls a second, and 150 were due. No schedule helps an instance that is not answered in time, and nothing tells it whether discovery is crowded or down; refusing all requests would make each outage of discovery one of the service. Cause: every listed endpoint was as good as any other, however old the list was. Change: while calls fail and no list has come for 6 s (for a new process: from its first failed call on), the draws take members that have served a call sent within 6 s and rejected none since. Such an endpoint can't have counted as draining by then, since draining endpoints reject calls. If the draws find none, any other member is taken, as before. The tests failed before.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -152,6 +152,10 @@
 MAX_SPREAD_US = 1_000_000  # the cached list that is used meanwhile may be old
 POLL_BACKOFF_US = 500_000  # first wait after a failed poll; doubled with each further one
 MAX_POLL_BACKOFF_US = 8_000_000
+# While calls to discovery fail and no list has come for this long, changes may count as notified that this
+# instance does not know. An endpoint that has served a call sent within this time was not draining before it,
+# since draining endpoints reject calls.
+UNCONFIRMED_LIST_US = 6_000_000
 SPILLOVER_GAIN = 0.5  # share of a call's worth that sending it to another zone is expected to save
 
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
@@ -523,9 +527,9 @@
 
     __slots__ = (
         "cell", "cold_tokens", "cold_tokens_at", "ejected_until", "ejection_count", "failure_rate", "id",
-        "in_flight", "is_listed", "is_ready", "is_unreachable", "labels", "last_failure_at", "last_used_at",
-        "load_weight", "machine_kind", "peak_at", "peak_in_flight", "peer_factor", "rejections_in_a_row",
-        "relative_latency", "sort_key", "started_at", "weight", "zone",
+        "in_flight", "is_listed", "is_ready", "is_unreachable", "labels", "last_failure_at",
+        "last_served_at", "last_used_at", "load_weight", "machine_kind", "peak_at", "peak_in_flight",
+        "peer_factor", "rejections_in_a_row", "relative_latency", "sort_key", "started_at", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint, now: int) -> None:
@@ -540,6 +544,7 @@
         self.rejections_in_a_row = 0
         self.cold_tokens = -1.0  # sends that it may get while cold; below 0: slow start has not begun
         self.cold_tokens_at = 0
+        self.last_served_at = 0  # when the last attempt that it served was sent; 0: never
         self.last_used_at = 0  # when a connection to it was last in use; 0: never
         self.peak_in_flight = self.peak_at = 0  # recent maximum, which is the number of open connections
         self.ejected_until = self.ejection_count = self.started_at = 0
@@ -795,6 +800,9 @@
         self.pending_hedges: deque[tuple[int, Call]] = deque()  # due time and call
         self.poll_backoff_us = POLL_BACKOFF_US
         self.poll_scheduled = False
+        self.discovery_fails = False  # since the last list
+        # When discovery answered. A cached list does not count: it may have been old before the start.
+        self.last_list_at = now_us - UNCONFIRMED_LIST_US
         if settings.discovery is Discovery.POLL:
             # If hundreds of instances polled at the same moment, discovery would reject half of the polls,
             # which would then be repeated.
@@ -835,6 +843,7 @@
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         """Update the endpoints from discovery, or schedule the next poll after a failed one."""
         if form is ListForm.FAILED:
+            self.discovery_fails = self.settings.discovery is Discovery.POLL
             if self.settings.discovery is Discovery.POLL and not self.poll_scheduled:
                 # Jittered, or all instances that discovery has rejected would poll again in step.
                 self.poll_scheduled = True
@@ -847,6 +856,7 @@
             return
         if form is not ListForm.CACHED:
             self.poll_backoff_us = POLL_BACKOFF_US
+            self.discovery_fails, self.last_list_at = False, now_us
         if form is not ListForm.DELTA:
             listed = {e.id for e in entries}
             for known in self.endpoints.values():
@@ -1132,7 +1142,12 @@
         return now - call.arrived_at >= price / gain * QUEUE_TIME_SHARE * call.request_class.objective_us
 
     def _pick_endpoint(self, now: int, pool: Pool, call: Call) -> EndpointState | None:
-        """Return the less loaded, by own calls in flight, of two random members of the subset."""
+        """Return the less loaded, by own calls in flight, of two random members of the subset.
+
+        While the list is unconfirmed, members that have served a call lately come before all others.
+        """
+        list_is_unconfirmed = self.discovery_fails and now - self.last_list_at >= UNCONFIRMED_LIST_US
+        unconfirmed: EndpointState | None = None  # the first draw that would otherwise do
         members = pool.subset.members
         member_count = len(members)
         best: EndpointState | None = None
@@ -1162,6 +1177,9 @@
                 (endpoint.zone, endpoint.cell),
             ):
                 continue
+            if list_is_unconfirmed and not self._has_served_lately(now, endpoint):
+                unconfirmed = unconfirmed or endpoint
+                continue
             handshake = self.handshake if self.handshake and not self._has_connection(now, endpoint) else 0.0
             # The draw favours warm endpoints already: if their capacity counted again here, an idle cold
             # endpoint would lose to any warm one.
@@ -1175,7 +1193,13 @@
             candidate_count += 1
             if candidate_count == 2:
                 break
-        return best
+        return best or unconfirmed
+
+    @staticmethod
+    def _has_served_lately(now: int, endpoint: EndpointState) -> bool:
+        """Return whether the endpoint has served a recent call, and rejected none since."""
+        is_recent = endpoint.last_served_at > 0 and now - endpoint.last_served_at < UNCONFIRMED_LIST_US
+        return is_recent and not endpoint.rejections_in_a_row
 
     def _has_connection(self, now: int, endpoint: EndpointState) -> bool:
         """Return whether a connection is likely to be open and free.
@@ -1376,6 +1400,8 @@
         if outcome is Outcome.NOT_EXECUTED or outcome is Outcome.CANCELLED:
             return
         ok = outcome is Outcome.OK
+        if ok:
+            endpoint.last_served_at = max(endpoint.last_served_at, sent_at)
         latency = spent_us / call.request_class.objective_us
         # A draining endpoint rejects calls at once, seconds before the list shows it. With few in flight it
         # attracts most of the attempts, and each rejection would count as crowding and cut the cap.
--- /dev/null
+++ b/tests/test_unconfirmed_list.py
@@ -0,0 +1,93 @@
+"""While discovery fails, endpoints that have served lately come first: the others may be draining."""
+
+from __future__ import annotations
+
+from eiderhub.balancer import UNCONFIRMED_LIST_US
+from eiderhub.interface import Discovery, ListForm, Outcome
+from tests.support import MS, RecordingHost, S, make_endpoints, make_settings
+
+CALLS = 200
+
+
+def make_host(discovery: Discovery = Discovery.POLL) -> RecordingHost:
+    """Return an instance with a confirmed list of ten endpoints, whose subset contains all of them."""
+    host = RecordingHost(make_settings(discovery=discovery, balancers=1), make_endpoints(10))
+    host.balancer.discovery(host.now, ListForm.FULL, make_endpoints(10))
+    return host
+
+
+def send(host: RecordingHost, outcomes: dict[str, Outcome], calls: int = CALLS) -> list[str]:
+    """Send calls one after another; each attempt ends as `outcomes` says of its endpoint, OK by default.
+
+    Returns the endpoints of the first attempts.
+    """
+    first_attempts = []
+    for _ in range(calls):
+        call = host.order("look", "big")
+        first_attempts.append(host.sent_to[call][0])
+        while call in host.balancer.calls:
+            host.reply(call, outcomes.get(host.sent_to[call][-1], Outcome.OK), spent=10 * MS)
+        host.advance(20 * MS)
+    return first_attempts
+
+
+def test_while_discovery_fails_an_endpoint_that_rejects_calls_is_avoided() -> None:
+    """Guards against calls to endpoints that began to drain while the list could not be updated."""
+    host = make_host()
+    draining = make_endpoints(10)[3].id
+    assert draining in send(host, {})
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    send(host, {}, calls=UNCONFIRMED_LIST_US // (20 * MS))
+    send(host, {draining: Outcome.REJECTED})
+    later = send(host, {draining: Outcome.REJECTED})
+    assert draining not in later
+    assert len(set(later)) == 9  # all others keep their share
+
+
+def test_an_endpoint_that_was_not_used_lately_is_avoided_too() -> None:
+    host = make_host()
+    unused = make_endpoints(10)[3].id
+    send(host, {})
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    # Keep the others in use past the time for which an answer counts, and leave this one out.
+    for _ in range(2 * UNCONFIRMED_LIST_US // S):
+        host.balancer.endpoints[unused].last_served_at = host.now - UNCONFIRMED_LIST_US
+        send(host, {}, calls=50)
+        host.balancer.endpoints[unused].last_served_at = host.now - UNCONFIRMED_LIST_US
+    assert unused not in send(host, {}, calls=100)
+
+
+def test_a_list_ends_the_preference() -> None:
+    host = make_host()
+    draining = make_endpoints(10)[3].id
+    send(host, {})
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    host.advance(2 * UNCONFIRMED_LIST_US)
+    send(host, {draining: Outcome.REJECTED})
+    host.balancer.discovery(host.now, ListForm.DELTA, [])
+    host.advance(30 * S)  # past any ejection
+    assert draining in send(host, {})
+
+
+def test_an_instance_that_has_served_nothing_lately_still_sends() -> None:
+    """An outage of discovery must not become one of the service."""
+    host = make_host()
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    host.advance(10 * UNCONFIRMED_LIST_US)
+    sent = send(host, {})
+    assert len(sent) == CALLS
+
+
+def test_a_new_process_is_careful_as_soon_as_its_first_call_to_discovery_fails() -> None:
+    host = RecordingHost(make_settings(discovery=Discovery.POLL, balancers=1), make_endpoints(10))
+    draining = make_endpoints(10)[3].id
+    send(host, {draining: Outcome.REJECTED}, calls=50)
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    assert draining not in send(host, {draining: Outcome.REJECTED})
+
+
+def test_pushed_lists_are_not_in_doubt() -> None:
+    """What a local agent has not received does not count as notified, however long it is silent."""
+    host = make_host(Discovery.PUSH)
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    assert not host.balancer.discovery_fails
