Log when the list becomes unconfirmed, and test what the module is told of failures

The state in which endpoints that served lately come first was not visible in the log. Tests on sockets: the module is told of each failed request and of the next answer, and a watch is not checked while requests fail.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -800,7 +800,7 @@
         self.pending_hedges: deque[tuple[int, Call]] = deque()  # due time and call
         self.poll_backoff_us = POLL_BACKOFF_US
         self.poll_scheduled = False
-        self.discovery_fails = False  # since the last list
+        self.discovery_fails = self.unconfirmed_list_logged = False  # since the last list
         # When discovery answered. A cached list does not count: it may have been old before the start.
         self.last_list_at = now_us - UNCONFIRMED_LIST_US
         if settings.discovery is Discovery.POLL:
@@ -843,7 +843,8 @@
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         """Update the endpoints from discovery, or schedule the next poll after a failed one."""
         if form is ListForm.FAILED:
-            self.discovery_fails = self.settings.discovery is Discovery.POLL
+            if self.settings.discovery is Discovery.POLL:
+                self._note_failed_poll(now_us)
             if self.settings.discovery is Discovery.POLL and not self.poll_scheduled:
                 # Jittered, or all instances that discovery has rejected would poll again in step.
                 self.poll_scheduled = True
@@ -856,7 +857,8 @@
             return
         if form is not ListForm.CACHED:
             self.poll_backoff_us = POLL_BACKOFF_US
-            self.discovery_fails, self.last_list_at = False, now_us
+            self.discovery_fails = self.unconfirmed_list_logged = False
+            self.last_list_at = now_us
         if form is not ListForm.DELTA:
             listed = {e.id for e in entries}
             for known in self.endpoints.values():
@@ -875,6 +877,16 @@
         if self.queue.count:
             self._send_queued(now_us)
 
+    def _note_failed_poll(self, now: int) -> None:
+        self.discovery_fails = True
+        if self._list_is_unconfirmed(now) and not self.unconfirmed_list_logged:
+            self.unconfirmed_list_logged = True
+            self.actions.write_log("the list is unconfirmed: endpoints that have served lately come first")
+
+    def _list_is_unconfirmed(self, now: int) -> bool:
+        """Return whether changes of the list may count as notified that this instance does not know."""
+        return self.discovery_fails and now - self.last_list_at >= UNCONFIRMED_LIST_US
+
     def _draw_subsets(self) -> None:
         """Draw the subset of each pool from the ready endpoints and set its limit's share of them."""
         settings = self.settings
@@ -1146,7 +1158,7 @@
 
         While the list is unconfirmed, members that have served a call lately come before all others.
         """
-        list_is_unconfirmed = self.discovery_fails and now - self.last_list_at >= UNCONFIRMED_LIST_US
+        list_is_unconfirmed = self._list_is_unconfirmed(now)
         unconfirmed: EndpointState | None = None  # the first draw that would otherwise do
         members = pool.subset.members
         member_count = len(members)
--- a/tests/test_unconfirmed_list.py
+++ b/tests/test_unconfirmed_list.py
@@ -86,6 +86,14 @@
     assert draining not in send(host, {draining: Outcome.REJECTED})
 
 
+def test_the_log_says_once_that_the_list_is_unconfirmed() -> None:
+    host = make_host()
+    for _ in range(3):
+        host.advance(UNCONFIRMED_LIST_US // 2)
+        host.balancer.discovery(host.now, ListForm.FAILED, [])
+    assert sum(action[0] == "write_log" for action in host.actions) == 1
+
+
 def test_pushed_lists_are_not_in_doubt() -> None:
     """What a local agent has not received does not count as notified, however long it is silent."""
     host = make_host(Discovery.PUSH)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -233,6 +233,34 @@
     run(test())
 
 
+def test_the_module_knows_that_discovery_fails_until_it_answers() -> None:
+    """Guards against a list that is taken for current while every request for it fails."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            (await sidecar.discovery.next()).reply(503)
+            second = await sidecar.discovery.next()
+            assert sidecar.host.balancer.discovery_fails
+            second.reply(200, listing(1, False))
+            await sidecar.discovery.next()
+            assert not sidecar.host.balancer.discovery_fails
+
+    run(test())
+
+
+def test_a_watch_is_not_suspected_while_requests_fail() -> None:
+    """A check would be a further request to a discovery that fails already."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            (await sidecar.discovery.next()).reply(503)
+            await sidecar.discovery.next()
+            await stop_both_endpoints(sidecar)
+            assert sidecar.watcher._recheck_task is None
+
+    run(test())
+
+
 def test_the_end_of_a_watch_cancels_its_poll() -> None:
     async def test() -> None:
         async with Sidecar(endpoints=2) as sidecar:
