Count an endpoint as serving lately for 3 s only, since draining ones serve on for a while

Cause, by a trace of one instance's attempts: an endpoint that is listed as draining serves new calls for some seconds more (a group was listed at 16.4 s; one of it served a call sent at 18.4 s, others rejected calls from 20.0 s on), so one that had served 5 s ago could have counted as draining for a second. Of the 70 endpoints, 18 had served within the time. Change: 3 s, so that an endpoint may serve on for 3 s after it is listed. Of draws that all fail, the latest to have served is taken, not the first drawn.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -153,9 +153,11 @@
 POLL_BACKOFF_US = 500_000  # first wait after a failed poll; doubled with each further one
 MAX_POLL_BACKOFF_US = 8_000_000
 # While calls to discovery fail and no list has come for this long, changes may count as notified that this
-# instance does not know. An endpoint that has served a call sent within this time was not draining before it,
-# since draining endpoints reject calls.
+# instance does not know.
 UNCONFIRMED_LIST_US = 6_000_000
+# An endpoint that has served a call sent within this time can't have been draining for as long as that: once
+# it is listed as draining, it may serve new calls for some seconds, and then rejects them.
+SERVED_LATELY_US = 3_000_000
 SPILLOVER_GAIN = 0.5  # share of a call's worth that sending it to another zone is expected to save
 
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
@@ -1159,7 +1161,7 @@
         While the list is unconfirmed, members that have served a call lately come before all others.
         """
         list_is_unconfirmed = self._list_is_unconfirmed(now)
-        unconfirmed: EndpointState | None = None  # the first draw that would otherwise do
+        fallback: EndpointState | None = None  # the best one of those that have not served lately
         members = pool.subset.members
         member_count = len(members)
         best: EndpointState | None = None
@@ -1190,7 +1192,7 @@
             ):
                 continue
             if list_is_unconfirmed and not self._has_served_lately(now, endpoint):
-                unconfirmed = unconfirmed or endpoint
+                fallback = self._latest_served(fallback, endpoint)
                 continue
             handshake = self.handshake if self.handshake and not self._has_connection(now, endpoint) else 0.0
             # The draw favours warm endpoints already: if their capacity counted again here, an idle cold
@@ -1205,14 +1207,21 @@
             candidate_count += 1
             if candidate_count == 2:
                 break
-        return best or unconfirmed
+        return best or fallback
 
     @staticmethod
     def _has_served_lately(now: int, endpoint: EndpointState) -> bool:
         """Return whether the endpoint has served a recent call, and rejected none since."""
-        is_recent = endpoint.last_served_at > 0 and now - endpoint.last_served_at < UNCONFIRMED_LIST_US
+        is_recent = endpoint.last_served_at > 0 and now - endpoint.last_served_at < SERVED_LATELY_US
         return is_recent and not endpoint.rejections_in_a_row
 
+    @staticmethod
+    def _latest_served(first: EndpointState | None, second: EndpointState) -> EndpointState:
+        """Return the one that has rejected no call since it served one, or else the one that served later."""
+        if first is None:
+            return second
+        return max(first, second, key=lambda e: (not e.rejections_in_a_row, e.last_served_at))
+
     def _has_connection(self, now: int, endpoint: EndpointState) -> bool:
         """Return whether a connection is likely to be open and free.
 
--- a/tests/test_unconfirmed_list.py
+++ b/tests/test_unconfirmed_list.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from eiderhub.balancer import UNCONFIRMED_LIST_US
+from eiderhub.balancer import SERVED_LATELY_US, UNCONFIRMED_LIST_US
 from eiderhub.interface import Discovery, ListForm, Outcome
 from tests.support import MS, RecordingHost, S, make_endpoints, make_settings
 
@@ -49,12 +49,22 @@
     unused = make_endpoints(10)[3].id
     send(host, {})
     host.balancer.discovery(host.now, ListForm.FAILED, [])
-    # Keep the others in use past the time for which an answer counts, and leave this one out.
-    for _ in range(2 * UNCONFIRMED_LIST_US // S):
-        host.balancer.endpoints[unused].last_served_at = host.now - UNCONFIRMED_LIST_US
-        send(host, {}, calls=50)
-        host.balancer.endpoints[unused].last_served_at = host.now - UNCONFIRMED_LIST_US
-    assert unused not in send(host, {}, calls=100)
+    host.advance(UNCONFIRMED_LIST_US - S)
+    for endpoint in host.balancer.endpoints.values():  # as if all others had served during that time
+        endpoint.last_served_at = host.now - (SERVED_LATELY_US if endpoint.id == unused else 0)
+    host.advance(S)
+    assert unused not in send(host, {})
+
+
+def test_of_endpoints_that_have_not_served_lately_the_latest_comes_first() -> None:
+    """With few calls, the draws may find no other."""
+    host = make_host()
+    send(host, {})
+    host.balancer.discovery(host.now, ListForm.FAILED, [])
+    host.advance(UNCONFIRMED_LIST_US)
+    served_at = {endpoint.id: endpoint.last_served_at for endpoint in host.balancer.endpoints.values()}
+    (chosen,) = send(host, {}, calls=1)
+    assert sorted(served_at.values()).index(served_at[chosen]) >= 5  # of ten, drawn eight times
 
 
 def test_a_list_ends_the_preference() -> None:
