Poll a new discovery address often until its list is due, then in slots

Found by the search for the incident's class: all instances polled a new address that fails about once a second for as long as it failed, which keeps a crowded discovery from answering any of them.

--- a/eiderhub/membership/poll_schedule.py
+++ b/eiderhub/membership/poll_schedule.py
@@ -28,7 +28,7 @@
 FULL_LIST_TIMEOUT_S = 2.5  # after a reload all instances request the full list at once and are served one by one
 # First and longest pause until the full list has come: it counts as notified 4 s after SIGHUP.
 FULL_LIST_PAUSE_S = (0.25, 1.0)
-MAX_SOON_FULL_LISTS = 3  # failed requests after which the new address is taken to be down, not crowded
+FULL_LIST_DUE_S = 4.0  # after that and the grace, the bound is that of any discovery that fails
 MIN_GRACE_US = 250_000  # with a shorter one the requests to an agent would follow each other without a pause
 AGENT_WAIT_SHARE = 0.4  # of the grace, the wait of a watch of a local agent: its answer counts as notified at once
 AGENT_TIMEOUT_SHARE = 0.25  # of the grace, the timeout beyond that wait, and the longest pause after a failure
@@ -62,6 +62,7 @@
         self._rechecks = 0  # requests since a watch fell silent
         self._failures = 0  # in a row
         self._sent_us = 0  # when the last request was sent
+        self._full_list_since_us: int | None = None  # when the full list was first requested, while it is needed
         self._watch_was_open = False  # whether the last request follows an answer
         self._slots = RetrySlots(offset, self.grace_s, poll_interval_us / 1e6, rng)
 
@@ -82,6 +83,8 @@
         """Return the request to send now."""
         self._sent_us = now_us
         if self.needs_full_list:
+            if self._full_list_since_us is None:
+                self._full_list_since_us = now_us
             return PollRequest(True, 0, self._agent_timeout_s if self.uses_local_agent else FULL_LIST_TIMEOUT_S)
         if self.uses_local_agent:
             wait_s = 0.0 if self._failures else AGENT_WAIT_SHARE * self.grace_s
@@ -105,6 +108,7 @@
     def succeeded(self) -> None:
         """Record an answer that was taken."""
         self.needs_full_list = False
+        self._full_list_since_us = None
         self._rechecks = self._failures = 0
         self._watch_was_open = True
         self._slots.reset()
@@ -116,7 +120,7 @@
         if self.uses_local_agent:
             return self._growing_pause(self._agent_timeout_s / 4, self._agent_timeout_s)
         if self.needs_full_list:
-            if self._failures <= MAX_SOON_FULL_LISTS:
+            if self._full_list_is_due(now_us):
                 return self._growing_pause(*FULL_LIST_PAUSE_S)
         elif self._may_recheck(timed_out):
             self._rechecks += 1
@@ -124,6 +128,12 @@
         self._rechecks = 0
         return self._slots.pause_after_failure(now_us, self._sent_us, watch_was_open)
 
+    def _full_list_is_due(self, now_us: int) -> bool:
+        """Return whether there is still time to receive the full list before it counts as notified."""
+        if self._full_list_since_us is None:
+            return True
+        return now_us - self._full_list_since_us < int((FULL_LIST_DUE_S + self.grace_s) * 1e6)
+
     def _growing_pause(self, first_s: float, longest_s: float) -> float:
         return min(first_s * 2.0 ** min(self._failures - 1, 10), longest_s) * self.rng.uniform(0.5, 1.5)
 
--- a/tests/membership/test_poll_schedule.py
+++ b/tests/membership/test_poll_schedule.py
@@ -183,20 +183,27 @@
     position there again and again.
     """
     polls = schedule().for_new_address()
-    spent_s = 0.0
+    now_us = NOW
     for timed_out in (True, False):
-        request = polls.next_poll(NOW)
+        request = polls.next_poll(now_us)
         assert request.is_full
-        pause_s = polls.failed(NOW, timed_out)
-        assert pause_s is not None
-        spent_s += pause_s + (request.timeout_s if timed_out else 0.0)
-    assert spent_s < 4.0
-    for _ in range(50):  # the address is down: the bound is that of any failing discovery
-        polls.next_poll(NOW)
-        pause_s = polls.failed(NOW, timed_out=False)
-        assert 0.0 < pause_s <= NOTIFIED_AFTER_RETURN_S
+        now_us += int(request.timeout_s * 1e6) if timed_out else 0
+        now_us += int(polls.failed(now_us, timed_out) * 1e6)
+    assert now_us - NOW < 4_000_000
     polls.succeeded()
-    assert not polls.next_poll(NOW).is_full
+    assert not polls.next_poll(now_us).is_full
+
+
+def test_a_new_address_that_fails_is_polled_often_until_its_list_is_due_and_then_in_slots() -> None:
+    polls = schedule(offset=0.9).for_new_address()
+    now_us, pauses = NOW, []
+    while now_us < NOW + 60_000_000:
+        assert polls.next_poll(now_us).is_full
+        pauses.append((now_us - NOW, polls.failed(now_us, timed_out=False)))
+        now_us += int(pauses[-1][1] * 1e6)
+    assert max(pause_s for sent_us, pause_s in pauses if sent_us < 4_000_000) <= 1.5
+    assert all(0.0 < pause_s <= NOTIFIED_AFTER_RETURN_S for _, pause_s in pauses)
+    assert sum(sent_us > 10_000_000 for sent_us, _ in pauses) <= 3 * 50 / 5  # three calls in each period of 5 s or more
 
 
 @pytest.mark.parametrize("grace_us", [250_000, 500_000, 1_000_000])
