Review: time counts from a request's last byte; a case ended from outside ends its processes

The client of the cases began its clock before it had connected and sent, which is stricter than the PROTOCOL page, and a case that got SIGTERM left its sidecar running.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,14 +45,15 @@
         self.spoilt.add(request_id)
         self.record.write(f"endpoint {self.name} begins an answer to {request_id} that never ends")
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nChecksum: ")
-        written = 0
+        written, began = 0, now()
         try:
             while True:
                 writer.write(b"a" * 65_536)
                 await writer.drain()
                 written += 65_536
         finally:
-            self.record.write(f"the answer to {request_id} was given up by the sidecar after {written >> 10} KiB")
+            lasted_s = now() - began
+            self.record.write(f"the answer to {request_id} was given up after {lasted_s:.2f} s, {written >> 10} KiB")
 
 
 async def measure_lag(lags: list[float]) -> None:
--- a/review/rig.py
+++ b/review/rig.py
@@ -379,18 +379,20 @@
         message = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         self.record.write(f"client sends {request_id} {class_name}, deadline {deadline_ms} ms")
         status, answer = 0, b""
+        wait_s = deadline_ms / 1000 + LOST_AFTER_S
         try:
-            async with asyncio.timeout(deadline_ms / 1000 + LOST_AFTER_S):
-                connection = self._kept()
-                if connection is not None:
-                    try:
-                        status, answer = await self._exchange(connection, message)
-                    except (OSError, asyncio.IncompleteReadError) as error:
-                        # PROTOCOL: if a close crosses a request, it is sent once more on a new connection.
-                        self.record.write(f"client sends {request_id} once more after {type(error).__name__}")
-                if not status:
+            connection = self._kept()
+            if connection is not None:
+                try:
+                    status, answer = await self._exchange(connection, message, wait_s)
+                except (ConnectionError, asyncio.IncompleteReadError) as error:
+                    # PROTOCOL: if a close crosses a request, it is sent once more on a new connection.
+                    self.record.write(f"client sends {request_id} once more after {type(error).__name__}")
+                    connection = None
+            if connection is None:
+                async with asyncio.timeout(wait_s):
                     connection = await asyncio.open_connection(self.sidecar.host, self.sidecar.port)
-                    status, answer = await self._exchange(connection, message)
+                status, answer = await self._exchange(connection, message, wait_s)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self.record.write(f"client got no whole answer to {request_id}: {type(error).__name__}")
         self.statuses[request_id] = status
@@ -407,14 +409,19 @@
         return None
 
     async def _exchange(
-        self, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter], message: bytes
+        self, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter], message: bytes, wait_s: float
     ) -> tuple[int, bytes]:
-        """Send a request on a connection, which is kept afterwards, and return the answer's status and body."""
+        """Send a request on a connection, which is kept afterwards, and return the answer's status and body.
+
+        The time counts from the request's last byte. Raises TimeoutError.
+        """
         reader, writer = connection
         is_kept = False
         try:
             writer.write(message)
-            words, headers, answer, _ = await read_message(reader)
+            await writer.drain()
+            async with asyncio.timeout(wait_s):
+                words, headers, answer, _ = await read_message(reader)
             is_kept = headers.get("connection", "").lower() != "close"
             return int(words[1]), answer
         finally:
@@ -487,6 +494,11 @@
     """Run a case, which returns whether the rule held, and exit as the review's issue says."""
 
     async def limited(temporary: Path, record: Record) -> bool:
+        # Also a case that is ended from outside ends what it started.
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(110):
             return await case(temporary, record)
 
@@ -494,7 +506,7 @@
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         held = asyncio.run(limited(temporary, record))
-    except Exception as error:  # whatever it is, it says nothing about the rule
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, it says nothing about the rule
         record.write(f"the case could not run: {type(error).__name__}: {error}")
         print(f"could not run: {error}", file=sys.stderr)
         sys.exit(2)
