Bound trailers and chunk-size lines, which kept other requests from an answer

Cause: nothing bounded a message between its headers and its body's end, and the parser copies an unfinished line with each read. Change: FramingLimit counts what is neither body nor a complete header section, of answers and requests: 16 KiB. This works because the parser never has more than a read and that limit to copy. The old guard of requests counted whole ones too, so that a later one in pieces got 431; that goes with it.

--- a/eiderhub/protocols/http1/client.py
+++ b/eiderhub/protocols/http1/client.py
@@ -8,12 +8,12 @@
 
 from eiderhub.interface import LoadReport, Outcome
 from eiderhub.load_reports import parse_load_report
+from eiderhub.protocols.http1.framing_limit import FramingLimit
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.protocol_interface import ConnectionOwner, EndpointConnection
 from eiderhub.sidecar.resource_limits import ByteBudget
 
 MAX_BODY_BYTES = 64 * 1024  # the protocol allows no longer response
-MAX_HEADER_BYTES = 16 * 1024  # of a header section, including all interim responses before it
 # Some endpoints send a response twice, some milliseconds apart. A request written to the connection before the
 # duplicate has arrived would take it for its own response.
 REUSE_DELAY_US = 10_000
@@ -57,6 +57,7 @@
         self.max_body_bytes = max_body_bytes
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._framing = FramingLimit()  # of the response, including all interim responses before it
         self._reset()
 
     def _reset(self) -> None:
@@ -64,7 +65,7 @@
         self.budget.release(len(self._body))
         self._body = bytearray()
         self._in_header_section = True
-        self._header_bytes = 0
+        self._framing.reset()
         self._keep_alive = False
         self._response: Response | None = None
         self.partial_read_us = 0
@@ -84,7 +85,6 @@
         if not self.busy:  # unsolicited data
             self.fail()
             return
-        in_header_section = self._in_header_section
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -98,9 +98,7 @@
             self._complete(self._response)
             return
         self.partial_read_us = now_us()
-        # Guards against a header section that never ends, and against endless interim responses.
-        self._header_bytes += len(data) if in_header_section else 0
-        if in_header_section and self._in_header_section and self._header_bytes > MAX_HEADER_BYTES:
+        if not self._framing.add_read(len(data)):
             self.fail()
 
     def _complete(self, response: Response) -> None:
@@ -126,6 +124,7 @@
         if self._parser is None or self._parser.get_status_code() < 200:
             return
         self._in_header_section = False
+        self._framing.complete_section()
         length = -1
         for name, value in self._headers:
             key = name.lower()
@@ -140,6 +139,7 @@
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > self.max_body_bytes or not self.budget.reserve(len(body)):
             raise ValueError("the body is too long, or no memory is left")
+        self._framing.add_body(len(body))
         self._body += body
 
     def on_message_complete(self) -> None:
--- a/eiderhub/protocols/http1/server.py
+++ b/eiderhub/protocols/http1/server.py
@@ -10,6 +10,7 @@
 
 from eiderhub.interface import Effect, RequestClass
 from eiderhub.protocols.http1.client import HOP_BY_HOP, RequestPayload, Response
+from eiderhub.protocols.http1.framing_limit import FramingLimit
 from eiderhub.routing.request_target import InvalidTargetError, RequestAttributes, segments_of
 from eiderhub.sidecar.callers import BaseCallerConnection, Callers
 from eiderhub.sidecar.clock import now_us
@@ -86,7 +87,7 @@
         self._unparsed = bytearray()  # bytes received after the queued requests
         self._body = bytearray()
         self._in_header_section = True
-        self._fed_header_bytes = 0  # fed of an incomplete header section; the parser buffers unfinished lines
+        self._framing = FramingLimit()  # of the request being received
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     # --- the socket ---
@@ -110,7 +111,6 @@
 
     def _feed(self, data: bytes) -> None:
         assert self._parser is not None
-        was_in_header_section = self._in_header_section
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -118,12 +118,8 @@
         except httptools.HttpParserError:
             self.stop(self.rejection or Rejected(400, "malformed HTTP"))
             return
-        # Guards against a line that never ends: the parser makes no callback for a line before its end.
-        self._fed_header_bytes = (
-            self._fed_header_bytes + len(data) if was_in_header_section and self._in_header_section else 0
-        )
-        if self._fed_header_bytes > MAX_HEADER_BYTES and not self.queued_requests:
-            self.stop(Rejected(431, "the headers are too long"))
+        if not self._framing.add_read(len(data)):
+            self.stop(Rejected(431, "the headers, a chunk-size line or the trailers are too long"))
             return
         self._serve_next()
 
@@ -174,6 +170,7 @@
 
     def on_headers_complete(self) -> None:
         self._in_header_section = False
+        self._framing.complete_section()
         if self._parser is not None and self._parser.get_http_version() not in ("1.0", "1.1"):
             self._reject_input(400, "HTTP/1.0 or 1.1 only")
         for name, value in self._headers:
@@ -189,6 +186,7 @@
         if not self.callers.budget.reserve(len(body)):
             self._reject_input(503, "no memory is left")  # a retry is harmless: nothing was sent to an endpoint
         self.reserved_bytes += len(body)
+        self._framing.add_body(len(body))
         self._body += body
 
     def _reject_input(self, status: int, reason: str) -> None:
@@ -199,6 +197,7 @@
         parser = self._parser
         assert parser is not None
         self.receiving, self._in_header_section = False, True
+        self._framing.complete_section()
         if len(self.queued_requests) >= MAX_QUEUED_REQUESTS:
             self._reject_input(400, "too many requests at once")
         keep_alive = parser.should_keep_alive() and not parser.should_upgrade()
