Create an endpoint connection's parser once it is established, to leave no cycle

Seen: found while searching for other paths of the fault before; no caller has reported it. An endpoint or a discovery that refuses connections left an object pair for each attempt to connect until a rare garbage collection. Cause: a connection and its parser refer to each other, and the cycle is broken in connection_lost, which an attempt to connect that fails never calls. Change: the parser is created in connection_made, which connection_lost always follows; this covers the pools, discovery and Consul.

--- a/eiderhub/protocols/http1/client.py
+++ b/eiderhub/protocols/http1/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import NamedTuple
 
 import httptools
@@ -55,7 +56,7 @@
         super().__init__(owner)
         self.budget = budget
         self.max_body_bytes = max_body_bytes
-        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = None  # while the connection is established
         self._body = bytearray()
         self._framing = FramingLimit()  # of the response, including all interim responses before it
         self._reset()
@@ -70,6 +71,12 @@
         self._response: Response | None = None
         self.partial_read_us = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # A connection and its parser refer to each other, until `release_resources` is called at the end of this one.
+        # There is no such call for an attempt to connect that fails.
+        self._parser = httptools.HttpResponseParser(self)
+
     def release_resources(self) -> None:
         self._parser = None  # breaks the reference cycle with the parser, which would rarely be collected
         self._reset()
--- a/tests/test_memory_leaks.py
+++ b/tests/test_memory_leaks.py
@@ -12,6 +12,7 @@
 
 from eiderhub.interface import ListForm
 from eiderhub.membership.endpoint_list import read_endpoint_list
+from eiderhub.membership.list_client import ListClient
 from eiderhub.protocols.http1.client import Connection
 from eiderhub.protocols.http1.server import CallerConnection, Rejected
 from eiderhub.protocols.thrift.admission import ListenerOptions
@@ -123,6 +124,24 @@
     run(test())
 
 
+def test_refused_connections_leave_no_reference_cycles() -> None:
+    """Guards against endpoints and a discovery that are down for long: each refused connection would stay in memory."""
+
+    async def connect_to_closed_ports(sidecar: Sidecar) -> None:
+        assert (await (await sidecar.client()).request()).status == 503
+        with pytest.raises(OSError, match="refused"):
+            await ListClient(1).fetch("127.0.0.1", int(sidecar.discovery.address.rpartition(":")[2]), b"", 1.0)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            for server in (sidecar.discovery.server, sidecar.endpoints[0].server):
+                server.close()
+                await server.wait_closed()
+            await assert_nothing_accumulates(sidecar, connect_to_closed_ports)
+
+    run(test())
+
+
 @pytest.mark.parametrize("raw", [b"GET / HTTP/1.1\r\n", b"\0\0\0\x04\x80\x01\0\x01", b"\x7f\0\0\0"])
 def test_rejected_thrift_input_leaves_no_reference_cycles(raw: bytes) -> None:
     """Guards against the same as for HTTP."""
