Keep late requests to discovery open, so that a slow one is listened to

Cause: a watch was closed 0.4 s after its wait and each recheck after 1.5 s, in order to notice a broken connection. A discovery that takes longer for an answer lost its caller each time. Evidence: discovery's record shows each request ended 0.3 s before its answer. Ruled out: a list that came and was applied late; slots that begin too late (with a discovery that answers at once again, the property held before). Change: a late request stays open for 3 s while the next one is sent, at the same time as before, on a connection of its own; the first answer ends the others. This works because an answer in time no longer depends on the time limit for a silent connection. The full list after SIGHUP and the check of a suspected watch had the same cause.

--- a/eiderhub/membership/poll_schedule.py
+++ b/eiderhub/membership/poll_schedule.py
@@ -11,14 +11,17 @@
 import random
 from typing import NamedTuple
 
-from eiderhub.membership.retry_slots import RetrySlots
+from eiderhub.membership.retry_slots import NOTIFIED_AFTER_S, RetrySlots
 
 # Shortest and longest wait of a watch. Discovery serves its requests one after another, so they should be few. Each
 # instance has its own wait between these: if all watches fall silent at once, their new requests are spread.
 WATCH_WAIT_MS = (10_000, 30_000)
 WATCH_SLACK_S = 0.4  # how late a watch's answer may be; the rest of the 2 s and the grace are left for another request
 MAX_RECHECKS = 3  # requests without a wait that follow a silent watch; each is answered or fails
-RECHECK_TIMEOUT_S = 1.5  # a request that is given up loses its position in discovery's queue
+RECHECK_TIMEOUT_S = 1.5  # after which another one is sent: the connection of the first may be silent too
+# How long a late request stays open while others are sent, since one that is closed loses its position in discovery's
+# queue. An answer to a recheck that takes longer in all would come too late for a change made just after it was sent.
+LATE_ANSWER_S = NOTIFIED_AFTER_S - 2 * RECHECK_TIMEOUT_S
 REFUSED_PAUSE_S = 0.25  # pause after a recheck that was refused
 # How late the answer of a watch may be that follows a failed request: discovery itself fails a request that has been
 # queued for 2 s. The rest of the period between two requests is the watch's wait, so that a discovery that does not
@@ -35,7 +38,7 @@
 
 
 class PollRequest(NamedTuple):
-    """One request to discovery."""
+    """One request to discovery. It is late after `timeout_s`, and another one follows."""
 
     is_full: bool  # whether the full list is requested, rather than the changes since the current version
     wait_ms: int
@@ -82,6 +85,11 @@
         """Whether the last request has failed, so that the list may be out of date."""
         return self._failures > 0
 
+    @property
+    def late_answer_s(self) -> float:
+        """How long a late request stays open. A local agent answers at once, so a late one of its requests is lost."""
+        return 0.0 if self.uses_local_agent else LATE_ANSWER_S
+
     def next_poll(self, now_us: int) -> PollRequest:
         """Return the request to send now."""
         self._sent_us = now_us
@@ -117,7 +125,7 @@
         self._slots.reset()
 
     def failed(self, now_us: int, timed_out: bool) -> float:
-        """Return the seconds until the next request, after the last one has failed."""
+        """Return the seconds until the next request, after the last one has failed or is late (`timed_out`)."""
         self._failures += 1
         watch_was_open, self._watch_was_open = self._watch_was_open, False
         if self.uses_local_agent:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -15,7 +15,8 @@
     read_endpoint_list,
 )
 from eiderhub.membership.list_client import ListClient
-from eiderhub.membership.poll_schedule import RECHECK_TIMEOUT_S, PollRequest, PollSchedule
+from eiderhub.membership.open_requests import EndedRequest, OpenRequests
+from eiderhub.membership.poll_schedule import LATE_ANSWER_S, RECHECK_TIMEOUT_S, PollRequest, PollSchedule
 from eiderhub.membership.watch_suspicion import WatchSuspicion
 from eiderhub.sidecar.clock import now_us
 
@@ -26,8 +27,9 @@
 class Watcher:
     """Keeps one watch open while it is active, and delivers the lists that it receives.
 
-    A request that fails is followed by another one, when the schedule says. If a watch is under suspicion, the list is
-    fetched on a separate connection; the watch is kept unless it has missed a version.
+    A request that fails or is late is followed by another one, when the schedule says; a late one stays open for a
+    while, and the first answer ends all others. If a watch is under suspicion, the list is fetched on a separate
+    connection; the watch is kept unless it has missed a version.
     """
 
     def __init__(
@@ -46,10 +48,11 @@
         self.deliver = deliver
         self.suspicion = suspicion
         self._task: asyncio.Task[None] | None = None
-        self._client = ListClient(MAX_LIST_BYTES)
+        self._requests = OpenRequests(lambda: ListClient(MAX_LIST_BYTES))
         self._recheck_task: asyncio.Task[None] | None = None  # fetches the list on a separate connection
         self._last_answer_us = now_us()  # until the first answer, when the watcher was created
         self._failed_requests = 0  # since the last answer
+        self._sent_us = 0  # when the last request was sent
 
     def set_active(self, active: bool) -> None:
         """Start the watch, or end it."""
@@ -63,7 +66,7 @@
         if self._task is not None:
             self._task.cancel()
             self._task = None
-            self._client.close_connection()  # its answer would be taken for the next watch's
+            self._requests.close()
 
     def on_connection_refused(self, endpoint: str) -> None:
         """Note that a listed endpoint has refused a connection, which may put the watch under suspicion."""
@@ -96,7 +99,7 @@
         await asyncio.sleep(suspicion.delay_us / 1e6)
         client, endpoint_list = ListClient(MAX_LIST_BYTES), None
         try:
-            endpoint_list = await self._fetch(client, PollRequest(False, 0, RECHECK_TIMEOUT_S))
+            endpoint_list = await self._fetch(client, PollRequest(False, 0, RECHECK_TIMEOUT_S + LATE_ANSWER_S))
         except Exception as error:  # the watch continues and detects its own failures
             log.warning("discovery: checking a suspected watch failed: %s: %s", type(error).__name__, error)
         finally:
@@ -126,24 +129,66 @@
 
     async def _run(self) -> None:
         while True:
-            sent_us = now_us()
-            try:
-                self._apply(await self._poll())
-            except Exception as error:  # after any error the watch goes on, or the list would stay out of date
-                self._client.close_connection()
-                pause_s = self.schedule.failed(now_us(), isinstance(error, TimeoutError))
-                self._log_failure(error, sent_us, pause_s)
-                self.deliver(ListForm.FAILED, [])
-                await asyncio.sleep(pause_s)
-
-    def _log_failure(self, error: Exception, sent_us: int, pause_s: float) -> None:
+            poll_request = self.schedule.next_poll(now_us())
+            self._send(poll_request)
+            await self._await_next_poll(poll_request.timeout_s)
+
+    def _send(self, poll_request: PollRequest) -> None:
+        kept_request = poll_request._replace(timeout_s=poll_request.timeout_s + self.schedule.late_answer_s)
+        self._sent_us = now_us()
+        self._requests.send(lambda client: self._fetch(client, kept_request))
+
+    async def _await_next_poll(self, timeout_s: float) -> None:
+        """Wait until the next request is to be sent: after an answer, or after a failure and the pause that follows.
+
+        `timeout_s` is the time after which the current request is late.
+        """
+        due_us = now_us() + int(timeout_s * 1e6)
+        while True:
+            ended = await self._requests.next_ended((due_us - now_us()) / 1e6)
+            if ended is not None:
+                error = self._take(ended)
+                if error is None:
+                    return
+                if not ended.is_current:
+                    continue
+            elif self._requests.has_current:
+                self._requests.set_current_aside()
+                error = TimeoutError("late")
+            else:
+                return
+            due_us = now_us() + int(self._note_failure(error) * 1e6)
+
+    def _take(self, ended: EndedRequest) -> Exception | None:
+        """Apply the list that a request was answered with; return the error if there is none, or it can't be applied.
+
+        After any error the watch goes on, or the list would stay out of date.
+        """
+        if isinstance(ended.outcome, Exception):
+            return ended.outcome
+        try:
+            self._apply(ended.outcome)
+        except Exception as error:
+            ended.request.close()
+            return error.with_traceback(None)
+        self._requests.close_all_but(ended.request)
+        return None
+
+    def _note_failure(self, error: Exception) -> float:
+        """Return the seconds until the next request, after the current one has failed or is late."""
+        pause_s = self.schedule.failed(now_us(), isinstance(error, TimeoutError))
+        self._log_failure(error, pause_s)
+        self.deliver(ListForm.FAILED, [])
+        return pause_s
+
+    def _log_failure(self, error: Exception, pause_s: float) -> None:
         self._failed_requests += 1
         log.warning(
             "discovery: %s: %s; failure %d in a row, after %.2f s; the next request in %.2f s",
             type(error).__name__,
             error,
             self._failed_requests,
-            (now_us() - sent_us) / 1e6,
+            (now_us() - self._sent_us) / 1e6,
             pause_s,
         )
 
@@ -175,9 +220,6 @@
         self._last_answer_us, self._failed_requests = now_us(), 0
         self.schedule.succeeded()
 
-    async def _poll(self) -> EndpointList:
-        return await self._fetch(self._client, self.schedule.next_poll(now_us()))
-
     async def _fetch(self, client: ListClient, poll_request: PollRequest) -> EndpointList:
         path = "/discovery/hosts"
         if not poll_request.is_full:
--- /dev/null
+++ b/tests/membership/test_slow_discovery.py
@@ -0,0 +1,258 @@
+"""The watch on a discovery that answers late or not at all, in virtual time: each change is known in time."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import random
+import re
+import selectors
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from eiderhub.interface import ListForm
+from eiderhub.membership.endpoint_list import ListedEndpoint
+from eiderhub.membership.poll_schedule import WATCH_SLACK_S, PollSchedule
+from eiderhub.membership.watch_suspicion import WatchSuspicion
+from eiderhub.protocols.http1.client import Response
+from eiderhub.sidecar import discovery as discovery_module
+from eiderhub.sidecar.discovery import Watcher
+from standins.discovery import listing, row
+
+# From the protocol: a change counts as notified this long after discovery had it and could be reached, or after the
+# wait of a watch that fell silent.
+NOTIFIED_AFTER_S = 6.0
+NOTIFIED_AFTER_WAIT_S = 2.0
+HOLD_UP_S = 0.15  # for which a process may be held up
+LONGEST_ANSWER_S = 3.0  # after which discovery fails a request
+NOTIFIED_AFTER_RELOAD_S = 4.0  # the list of a new address
+RUNS_ON_S = 30.0
+ROUND_TRIP_S = 0.25  # a connection and an answer of a discovery that is not overloaded
+
+DRAINING = row("s-0", "127.0.0.1:1", "draining")
+GRACES_S = st.sampled_from([0.5, 1.0])
+OFFSETS = st.floats(0.0, 0.999)
+
+
+class SkippingSelector(selectors.DefaultSelector):
+    """Lets no time pass: a wait moves the loop's clock."""
+
+    now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        self.now_s += timeout or 0.0
+        return super().select(0)
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock moves on to the next timer at once."""
+
+    def __init__(self) -> None:
+        self.skipping_selector = SkippingSelector()
+        super().__init__(self.skipping_selector)
+
+    def time(self) -> float:
+        return self.skipping_selector.now_s
+
+
+def virtual_now_us() -> int:
+    return int(asyncio.get_running_loop().time() * 1e6)
+
+
+class SlowDiscovery:
+    """A discovery that works on each request for `answer_s`; it never answers requests for which `is_silent`."""
+
+    def __init__(
+        self,
+        answer_s: float,
+        is_silent: Callable[[int, float], bool] = lambda number, sent_s: False,
+        outage_s: tuple[float, float] = (math.inf, math.inf),
+    ) -> None:
+        self.answer_s = answer_s
+        self.outage_begins_s, self.outage_ends_s = (
+            outage_s  # requests fail at once meanwhile, and open ones at its begin
+        )
+        self.is_silent = is_silent  # by the number of the request and the time at which it was sent
+        self.generation = 1
+        self.sent_s: list[float] = []  # when requests were sent
+        self.open_requests = self.max_open_requests = 0
+        self._changed = asyncio.Event()
+
+    def change(self) -> None:
+        """Let an endpoint drain."""
+        self.generation += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, request: bytes) -> Response:
+        """Answer a request. Raises ConnectionResetError in an outage."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self.outage_ends_s or self.outage_begins_s == math.inf:
+            return await self._answer(request)
+        try:
+            async with asyncio.timeout(max(0.0, self.outage_begins_s - now_s)):
+                return await self._answer(request)
+        except TimeoutError:
+            raise ConnectionResetError("discovery is down") from None
+
+    async def _answer(self, request: bytes) -> Response:
+        number, now_s = len(self.sent_s), asyncio.get_running_loop().time()
+        self.sent_s.append(now_s)
+        self.open_requests += 1
+        self.max_open_requests = max(self.max_open_requests, self.open_requests)
+        try:
+            if self.is_silent(number, now_s):
+                await asyncio.Event().wait()
+            query = re.search(rb"after=(\d+)&wait_ms=(\d+)", request)
+            if query is None:
+                await asyncio.sleep(self.answer_s)
+                return Response(200, [], listing(self.generation, True, DRAINING))
+            after, wait_s = int(query[1]), int(query[2]) / 1000
+            if after == self.generation and wait_s:
+                await asyncio.wait([asyncio.ensure_future(self._changed.wait())], timeout=wait_s)
+            generation = self.generation
+            await asyncio.sleep(self.answer_s)
+        finally:
+            self.open_requests -= 1
+        return Response(200, [], listing(generation, False, *([DRAINING] if after < generation else [])))
+
+    def new_client(self, _: int) -> FakeClient:
+        return FakeClient(self)
+
+
+class FakeClient:
+    """A client whose connections are established at once."""
+
+    def __init__(self, discovery: SlowDiscovery) -> None:
+        self.discovery = discovery
+
+    async def fetch(self, host: str, port: int, request: bytes, timeout_s: float) -> Response:
+        async with asyncio.timeout(timeout_s):
+            return await self.discovery.answer(request)
+
+    def close_connection(self) -> None:
+        """Do nothing: the request itself is cancelled."""
+
+
+class Watched:
+    """One instance that watches a slow discovery, and when it learned of the change."""
+
+    def __init__(self, discovery: SlowDiscovery, offset: float, grace_s: float) -> None:
+        self.discovery = discovery
+        self.schedule = PollSchedule(False, int(grace_s * 1e6), random.Random(1), offset)
+        self.known_s = float("inf")
+
+    def deliver(self, form: ListForm, entries: list[ListedEndpoint]) -> None:
+        if entries:
+            self.known_s = min(self.known_s, asyncio.get_running_loop().time())
+
+    async def run(self, change_s: float, then: Callable[[Watcher], None] = lambda watcher: None) -> None:
+        """Watch until `RUNS_ON_S` after the change, which happens at `change_s` and is followed by a call of `then`."""
+        watcher = Watcher("a", 1, 1, self.schedule, self.deliver, WatchSuspicion(0.0, 1, 10_000_000))
+        watcher.set_active(True)
+        await asyncio.sleep(change_s)
+        self.discovery.change()
+        then(watcher)
+        await asyncio.sleep(RUNS_ON_S)
+        watcher.set_active(False)
+
+
+def known_after(
+    discovery: SlowDiscovery,
+    offset: float,
+    grace_s: float,
+    change_s: float,
+    then: Callable[[Watcher], None] = lambda watcher: None,
+) -> float:
+    """Return how long after a change an instance knows of it; `then` is called at the time of the change."""
+    watched = Watched(discovery, offset, grace_s)
+    with pytest.MonkeyPatch.context() as patch, asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        patch.setattr(discovery_module, "ListClient", discovery.new_client)
+        patch.setattr(discovery_module, "now_us", virtual_now_us)
+        runner.run(watched.run(change_s, then))
+    return watched.known_s - change_s
+
+
+def first_wait_s(offset: float, grace_s: float) -> float:
+    """Return the wait of an instance's first watch."""
+    return PollSchedule(False, int(grace_s * 1e6), random.Random(1), offset).next_poll(0).wait_ms / 1000
+
+
+@given(answer_s=st.floats(0.0, LONGEST_ANSWER_S), offset=OFFSETS, grace_s=GRACES_S, after_wait_s=st.floats(-1.0, 40.0))
+def test_a_change_is_known_in_time_however_slowly_discovery_answers(
+    answer_s: float, offset: float, grace_s: float, after_wait_s: float
+) -> None:
+    """Guards against requests that are given up before discovery answers them, so that no answer arrives (review/3)."""
+    change_s = first_wait_s(offset, grace_s) + after_wait_s
+    discovery = SlowDiscovery(answer_s)
+    assert known_after(discovery, offset, grace_s, change_s) <= NOTIFIED_AFTER_S + grace_s - HOLD_UP_S
+    assert discovery.max_open_requests <= 4
+
+
+@pytest.mark.parametrize("silent_requests", [1, 2])
+@given(offset=OFFSETS, grace_s=GRACES_S, before_end_s=st.floats(0.001, 3.9))
+def test_a_change_that_a_silent_watch_missed_is_known_in_time(
+    silent_requests: int, offset: float, grace_s: float, before_end_s: float
+) -> None:
+    """Guards against a patience with late requests that leaves no time for another one on a new connection."""
+    discovery = SlowDiscovery(ROUND_TRIP_S, lambda number, _: number < silent_requests)
+    change_s = first_wait_s(offset, grace_s) - before_end_s
+    limit_s = before_end_s + NOTIFIED_AFTER_WAIT_S + grace_s - HOLD_UP_S
+    assert known_after(discovery, offset, grace_s, change_s) <= limit_s
+
+
+@given(offset=OFFSETS, grace_s=GRACES_S, silence_s=st.floats(0.5, 60.0))
+def test_a_change_is_known_in_time_after_a_silence_of_all_requests(
+    offset: float, grace_s: float, silence_s: float
+) -> None:
+    """Guards against a first slot that counts from the end of the last recheck rather than from its sending."""
+    change_s = first_wait_s(offset, grace_s) + silence_s
+    discovery = SlowDiscovery(ROUND_TRIP_S, lambda _, sent_s: sent_s < change_s)
+    assert known_after(discovery, offset, grace_s, change_s) <= NOTIFIED_AFTER_S + grace_s - HOLD_UP_S
+
+
+def test_a_change_is_known_in_time_after_an_outage_that_slow_answers_follow() -> None:
+    """Guards against slots so far apart that no time is left for an answer that takes long (issue 39)."""
+    begins_s, late = 5.0, []
+    for grace_s, answer_s, length_s in itertools.product(
+        (0.5, 1.0), (0.5, 1.0, 2.0, LONGEST_ANSWER_S), (8.0, 9.3, 11.6)
+    ):
+        for offset in (0.05, 0.35, 0.65, 0.95):
+            returns_s = begins_s + length_s
+            discovery = SlowDiscovery(answer_s, outage_s=(begins_s, returns_s))
+            known_s = known_after(discovery, offset, grace_s, returns_s)
+            if known_s > NOTIFIED_AFTER_S + grace_s - HOLD_UP_S:
+                late.append((grace_s, answer_s, length_s, offset, round(known_s, 2)))
+    assert late == []
+
+
+@given(answer_s=st.floats(0.0, LONGEST_ANSWER_S), offset=OFFSETS, grace_s=GRACES_S)
+def test_the_list_of_a_new_address_is_known_in_time_however_slowly_it_answers(
+    answer_s: float, offset: float, grace_s: float
+) -> None:
+    """Guards against a full list that is given up and requested again each time just before it comes."""
+    known_s = known_after(SlowDiscovery(answer_s), offset, grace_s, 1.0, lambda watcher: watcher.change_address("b", 1))
+    assert known_s <= NOTIFIED_AFTER_RELOAD_S + grace_s - HOLD_UP_S
+
+
+def test_a_suspected_watch_is_checked_however_slowly_discovery_answers() -> None:
+    """Guards against a check that is given up before discovery answers it, while few endpoints are left."""
+
+    def refuse_connections(watcher: Watcher) -> None:
+        for endpoint in ("s-1", "s-2"):
+            watcher.on_connection_refused(endpoint)
+
+    discovery = SlowDiscovery(LONGEST_ANSWER_S, lambda number, _: number == 0)
+    assert known_after(discovery, 0.0, 1.0, 1.0, refuse_connections) <= LONGEST_ANSWER_S + 0.01
+
+
+def test_the_answer_of_a_late_request_ends_the_requests_after_it() -> None:
+    """Guards against load on a discovery that is slow because it has many requests already."""
+    discovery, wait_s = SlowDiscovery(1.0), first_wait_s(0.0, 1.0)
+    known_after(discovery, 0.0, 1.0, wait_s + 5.0)
+    assert discovery.sent_s[:3] == pytest.approx([0.0, wait_s + WATCH_SLACK_S, wait_s + 1.0])
+    assert discovery.sent_s[3] > wait_s + 5.0
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -48,6 +48,42 @@
     run(test())
 
 
+def test_a_late_answer_of_a_watch_is_taken_and_ends_the_recheck(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a discovery that is never listened to because each of its answers is a little late (review/3)."""
+    monkeypatch.setattr(poll_schedule, "WATCH_WAIT_MS", (100, 100))
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            watch = await sidecar.discovery.next()
+            recheck = await sidecar.discovery.next()
+            assert (watch.connection, recheck.connection) == (0, 1)
+            watch.reply(200, listing(2, False, row("s-1", sidecar.endpoints[1].address, "draining")))
+            new_watch = await sidecar.discovery.next()
+            assert "after=2&" in new_watch.message.start_line
+            assert new_watch.connection == watch.connection
+            assert await sidecar.discovery.ends.get() == recheck.connection
+            assert list(sidecar.host.upstream.pools) == ["s-0"]
+
+    run(test())
+
+
+def test_a_late_request_that_is_refused_leaves_the_recheck_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a late failure that delays the next request, or ends the one that is open."""
+    monkeypatch.setattr(poll_schedule, "WATCH_WAIT_MS", (100, 100))
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            watch = await sidecar.discovery.next()
+            recheck = await sidecar.discovery.next()
+            watch.reply(503)
+            assert await sidecar.discovery.ends.get() == watch.connection
+            recheck.reply(200, listing(2, False))
+            new_watch = await sidecar.discovery.next()
+            assert (new_watch.connection, "after=2&" in new_watch.message.start_line) == (recheck.connection, True)
+
+    run(test())
+
+
 def test_a_slow_trickle_of_bytes_does_not_keep_a_watch_open(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(poll_schedule, "WATCH_WAIT_MS", (100, 100))
 
