Move the checks of HTTP requests to a module of their own

In the client of discovery, 'recheck' named two things. The check of a suspected watch is called so. ANSWER_TIMEOUT_S names the time that two places added up. Behaviour is unchanged.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -13,7 +13,8 @@
 from unittest.mock import Mock
 
 from eiderhub.interface import Effect, RequestClass, Settings, Tenant
-from eiderhub.protocols.http1.server import IncomingRequest, Server
+from eiderhub.protocols.http1.request_checks import IncomingRequest
+from eiderhub.protocols.http1.server import Server
 from eiderhub.routing.plan import Plan, default_plan
 from eiderhub.routing.plan_compiler import compile_plan
 from eiderhub.routing.table import Route, parse_pattern
--- a/eiderhub/membership/poll_schedule.py
+++ b/eiderhub/membership/poll_schedule.py
@@ -19,9 +19,10 @@
 WATCH_SLACK_S = 0.4  # how late a watch's answer may be; the rest of the 2 s and the grace are left for another request
 MAX_RECHECKS = 3  # requests without a wait that follow a silent watch; each is answered or fails
 RECHECK_TIMEOUT_S = 1.5  # after which another one is sent: the connection of the first may be silent too
-# How long a late request stays open while others are sent, since one that is closed loses its position in discovery's
-# queue. An answer to a recheck that takes longer in all would come too late for a change made just after it was sent.
-LATE_ANSWER_S = NOTIFIED_AFTER_S - 2 * RECHECK_TIMEOUT_S
+# How long a recheck is open in all, since one that is closed loses its position in discovery's queue. An answer that
+# takes longer comes too late for a change that was made just after the request had been sent.
+ANSWER_TIMEOUT_S = NOTIFIED_AFTER_S - RECHECK_TIMEOUT_S
+LATE_ANSWER_S = ANSWER_TIMEOUT_S - RECHECK_TIMEOUT_S  # how long a late request stays open while others are sent
 REFUSED_PAUSE_S = 0.25  # pause after a recheck that was refused
 # How late the answer of a watch may be that follows a failed request: discovery itself fails a request that has been
 # queued for 2 s. The rest of the period between two requests is the watch's wait, so that a discovery that does not
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -16,7 +16,7 @@
 )
 from eiderhub.membership.list_client import ListClient
 from eiderhub.membership.open_requests import EndedRequest, OpenRequests
-from eiderhub.membership.poll_schedule import LATE_ANSWER_S, RECHECK_TIMEOUT_S, PollRequest, PollSchedule
+from eiderhub.membership.poll_schedule import ANSWER_TIMEOUT_S, PollRequest, PollSchedule
 from eiderhub.membership.watch_suspicion import WatchSuspicion
 from eiderhub.sidecar.clock import now_us
 
@@ -49,7 +49,7 @@
         self.suspicion = suspicion
         self._task: asyncio.Task[None] | None = None
         self._requests = OpenRequests(lambda: ListClient(MAX_LIST_BYTES))
-        self._recheck_task: asyncio.Task[None] | None = None  # fetches the list on a separate connection
+        self._check_task: asyncio.Task[None] | None = None  # fetches the list on a separate connection
         self._last_answer_us = now_us()  # until the first answer, when the watcher was created
         self._failed_requests = 0  # since the last answer
         self._sent_us = 0  # when the last request was sent
@@ -71,12 +71,12 @@
     def on_connection_refused(self, endpoint: str) -> None:
         """Note that a listed endpoint has refused a connection, which may put the watch under suspicion."""
         suspicion = self.suspicion
-        if suspicion is None or self._task is None or self._recheck_task is not None:
+        if suspicion is None or self._task is None or self._check_task is not None:
             return
         if self.schedule.needs_full_list or self.schedule.is_failing:
             return  # there is no open watch to be checked
         if suspicion.connection_refused(endpoint, now_us()):
-            self._recheck_task = asyncio.get_running_loop().create_task(self._recheck(suspicion))
+            self._check_task = asyncio.get_running_loop().create_task(self._check_suspected_watch(suspicion))
 
     def describe_state(self) -> str:
         """Return the list's version and how current it is, for the log."""
@@ -87,11 +87,11 @@
     def _clear_suspicion(self) -> None:
         if self.suspicion is not None:
             self.suspicion.clear()
-        if self._recheck_task is not None:
-            self._recheck_task.cancel()
-            self._recheck_task = None
+        if self._check_task is not None:
+            self._check_task.cancel()
+            self._check_task = None
 
-    async def _recheck(self, suspicion: WatchSuspicion) -> None:
+    async def _check_suspected_watch(self, suspicion: WatchSuspicion) -> None:
         """Wait for this instance's offset, then fetch the list on a separate connection.
 
         A watch that works must not be lost for this.
@@ -99,14 +99,14 @@
         await asyncio.sleep(suspicion.delay_us / 1e6)
         client, endpoint_list = ListClient(MAX_LIST_BYTES), None
         try:
-            endpoint_list = await self._fetch(client, PollRequest(False, 0, RECHECK_TIMEOUT_S + LATE_ANSWER_S))
+            endpoint_list = await self._fetch(client, PollRequest(False, 0, ANSWER_TIMEOUT_S))
         except Exception as error:  # the watch continues and detects its own failures
             log.warning("discovery: checking a suspected watch failed: %s: %s", type(error).__name__, error)
         finally:
             client.close_connection()
         is_newer = endpoint_list is not None and endpoint_list.generation > self.generation
         suspicion.polled(now_us(), is_newer)
-        self._recheck_task = None
+        self._check_task = None
         if endpoint_list is not None and is_newer:
             log.info("discovery: the watch has missed version %d", endpoint_list.generation)
             self._stop()
--- a/tests/test_memory_leaks.py
+++ b/tests/test_memory_leaks.py
@@ -14,7 +14,8 @@
 from eiderhub.membership.endpoint_list import read_endpoint_list
 from eiderhub.membership.list_client import ListClient
 from eiderhub.protocols.http1.client import Connection
-from eiderhub.protocols.http1.server import CallerConnection, Rejected
+from eiderhub.protocols.http1.request_checks import Rejected
+from eiderhub.protocols.http1.server import CallerConnection
 from eiderhub.protocols.thrift.admission import ListenerOptions
 from eiderhub.protocols.thrift.server import CallerConnection as ThriftCallerConnection
 from eiderhub.sidecar import upstream
