Free the parser of a connection with its last answer

Cause: after a rejection a connection stays open for up to a second, so that the answer can be read, and its parser held the unfinished line, which is on no budget. Change: the parser is dropped with the last answer. This works because later input is discarded unparsed.

--- a/eiderhub/protocols/http1/server.py
+++ b/eiderhub/protocols/http1/server.py
@@ -275,6 +275,7 @@
         unread = self.input_closed or self.receiving
         self.queued_requests.clear()
         self._body = bytearray()
+        self._parser = None  # it holds an unfinished line, and the connection may stay open until the answer is read
         self.release_budget()
         self.finish(unread)
 
--- a/tests/test_memory_leaks.py
+++ b/tests/test_memory_leaks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import tracemalloc
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +15,7 @@
 from eiderhub.membership.endpoint_list import read_endpoint_list
 from eiderhub.membership.list_client import ListClient
 from eiderhub.protocols.http1.client import Connection
+from eiderhub.protocols.http1.framing_limit import MAX_FRAMING_BYTES
 from eiderhub.protocols.http1.request_checks import Rejected
 from eiderhub.protocols.http1.server import CallerConnection
 from eiderhub.protocols.thrift.admission import ListenerOptions
@@ -105,6 +107,29 @@
     run(test())
 
 
+def test_rejected_input_is_freed_while_its_caller_stays() -> None:
+    """Guards against bad clients that stay for a while: what the parser has of their input is on no budget."""
+    clients, input_bytes = 20, 200_000
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            connected = [await sidecar.client() for _ in range(clients)]
+            gc.collect()
+            tracemalloc.start()
+            try:
+                for client in connected:
+                    client.writer.write(b"GET /look/a HTTP/1.1\r\nA: " + b"x" * input_bytes)
+                    assert (await client.answer()).status == 431
+                    await client.writer.drain()
+                assert len(sidecar.callers) == clients
+                held_bytes, _ = tracemalloc.get_traced_memory()
+                assert held_bytes < clients * MAX_FRAMING_BYTES
+            finally:
+                tracemalloc.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("raw", [case[1] for case in INVALID_ANSWERS], ids=[case[0] for case in INVALID_ANSWERS])
 def test_invalid_answers_of_endpoints_leave_no_reference_cycles(raw: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against endpoints whose invalid answers stay in memory."""
