Count the body bytes of a message once a read, not once a chunk

Cause: the limit on trailers and chunk-size lines was told of each piece of body, one call for each chunk. Change: the connections pass how much their body grew within a read. The body of a request is cleared when the request is complete, so that the next one starts from nothing; a test fails without that. The tests of messages, callers, smuggling, shutdown and memory pass.

--- a/eiderhub/protocols/http1/client.py
+++ b/eiderhub/protocols/http1/client.py
@@ -92,6 +92,7 @@
         if not self.busy:  # unsolicited data
             self.fail()
             return
+        received_body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -105,7 +106,7 @@
             self._complete(self._response)
             return
         self.partial_read_us = now_us()
-        if not self._framing.add_read(len(data)):
+        if not self._framing.add_read(len(data), len(self._body) - received_body_bytes):
             self.fail()
 
     def _complete(self, response: Response) -> None:
@@ -146,7 +147,6 @@
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > self.max_body_bytes or not self.budget.reserve(len(body)):
             raise ValueError("the body is too long, or no memory is left")
-        self._framing.add_body(len(body))
         self._body += body
 
     def on_message_complete(self) -> None:
--- a/eiderhub/protocols/http1/framing_limit.py
+++ b/eiderhub/protocols/http1/framing_limit.py
@@ -29,14 +29,13 @@
         """Note that a header section or a message ends within the current read."""
         self._is_section_complete = True
 
-    def add_body(self, size: int) -> None:
-        """Note a piece of body within the current read: it and the chunk-size lines around it do not count."""
-        self._excess_bytes -= size * (1 + CHUNK_OVERHEAD_BYTES)
+    def add_read(self, size: int, body_size: int) -> bool:
+        """Count a read, after the parser's callbacks for it; return whether the message is within the limit.
 
-    def add_read(self, size: int) -> bool:
-        """Count a read, after the parser's callbacks for it; return whether the message is within the limit."""
+        `body_size` bytes of it were body: these and the chunk-size lines around them do not count.
+        """
         if self._is_section_complete:
             self.reset()
         else:
-            self._excess_bytes = max(0, self._excess_bytes + size)
+            self._excess_bytes = max(0, self._excess_bytes + size - body_size * (1 + CHUNK_OVERHEAD_BYTES))
         return self._excess_bytes <= MAX_FRAMING_BYTES
--- a/eiderhub/protocols/http1/server.py
+++ b/eiderhub/protocols/http1/server.py
@@ -64,7 +64,7 @@
         self.keep_alive = True
         self.rejection: Rejection | None = None
         self._unparsed = bytearray()  # bytes received after the queued requests
-        self._body = bytearray()
+        self._body = bytearray()  # of the request being received
         self._in_header_section = True
         self._framing = FramingLimit()  # of the request being received
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
@@ -90,6 +90,7 @@
 
     def _feed(self, data: bytes) -> None:
         assert self._parser is not None
+        received_body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -97,7 +98,7 @@
         except httptools.HttpParserError:
             self.stop(self.rejection or Rejection(400, "malformed HTTP"))
             return
-        if not self._framing.add_read(len(data)):
+        if not self._framing.add_read(len(data), len(self._body) - received_body_bytes):
             self.stop(Rejection(431, "the headers, a chunk-size line or the trailers are too long"))
             return
         self._serve_next()
@@ -130,7 +131,6 @@
         self.begin_request()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
         self._header_bytes = 0
 
     def on_url(self, url: bytes) -> None:
@@ -165,7 +165,6 @@
         if not self.callers.budget.reserve(len(body)):
             self._reject_input(503, "no memory is left")  # a retry is harmless: nothing was sent to an endpoint
         self.reserved_bytes += len(body)
-        self._framing.add_body(len(body))
         self._body += body
 
     def _reject_input(self, status: int, reason: str) -> None:
@@ -183,6 +182,7 @@
         self.queued_requests.append(
             IncomingRequest(parser.get_method(), self._url, self._headers, bytes(self._body), keep_alive, now_us())
         )
+        self._body = bytearray()
 
     # --- serving one request after another ---
 
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -107,6 +107,28 @@
     run(test())
 
 
+def test_a_long_request_does_not_count_for_the_next_one_in_pieces() -> None:
+    """Guards against a valid request that is rejected for the body of the one before it."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(body=b"x" * MAX_BODY_BYTES)
+            (await sidecar.next()).reply()
+            assert (await client.answer()).status == 200
+            (caller,) = sidecar.callers.connections
+            client.writer.write(CHUNKED_REQUEST[:40])
+            while not caller.receiving:
+                await asyncio.sleep(0.001)
+            client.writer.write(CHUNKED_REQUEST[40:] + b"0\r\n\r\n")
+            received = await sidecar.next()
+            assert received.message.body == b"good"
+            received.reply()
+            assert (await client.answer()).status == 200
+
+    run(test())
+
+
 def test_an_answer_in_chunks_of_a_byte_is_forwarded() -> None:
     async def test() -> None:
         async with Sidecar() as sidecar:
@@ -127,5 +149,4 @@
         b"\0" * (len(mark) - size - 2) + b"\1" * size + b"\0\0" for mark, size in zip(marks, chunks, strict=True)
     )
     for start in range(0, len(message), piece):
-        limit.add_body(is_body[start : start + piece].count(1))
-        assert limit.add_read(len(message[start : start + piece]))
+        assert limit.add_read(len(message[start : start + piece]), is_body[start : start + piece].count(1))
