--- a/tests/membership/test_slow_discovery.py
+++ b/tests/membership/test_slow_discovery.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import itertools
-import math
 import random
-import re
-import selectors
 from collections.abc import Callable
 
 import pytest
@@ -18,10 +15,10 @@
 from eiderhub.membership.endpoint_list import ListedEndpoint
 from eiderhub.membership.poll_schedule import WATCH_SLACK_S, PollSchedule
 from eiderhub.membership.watch_suspicion import WatchSuspicion
-from eiderhub.protocols.http1.client import Response
 from eiderhub.sidecar import discovery as discovery_module
 from eiderhub.sidecar.discovery import Watcher
-from standins.discovery import listing, row
+from standins.slow_discovery import SlowDiscovery
+from standins.virtual_time import VirtualTimeLoop, virtual_now_us
 
 # From the protocol: a change counts as notified this long after discovery had it and could be reached, or after the
 # wait of a watch that fell silent.
@@ -33,111 +30,10 @@
 RUNS_ON_S = 30.0
 ROUND_TRIP_S = 0.25  # a connection and an answer of a discovery that is not overloaded
 
-DRAINING = row("s-0", "127.0.0.1:1", "draining")
 GRACES_S = st.sampled_from([0.5, 1.0])
 OFFSETS = st.floats(0.0, 0.999)
 
 
-class SkippingSelector(selectors.DefaultSelector):
-    """Lets no time pass: a wait moves the loop's clock."""
-
-    now_s = 0.0
-
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        self.now_s += timeout or 0.0
-        return super().select(0)
-
-
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock moves on to the next timer at once."""
-
-    def __init__(self) -> None:
-        self.skipping_selector = SkippingSelector()
-        super().__init__(self.skipping_selector)
-
-    def time(self) -> float:
-        return self.skipping_selector.now_s
-
-
-def virtual_now_us() -> int:
-    return int(asyncio.get_running_loop().time() * 1e6)
-
-
-class SlowDiscovery:
-    """A discovery that works on each request for `answer_s`; it never answers requests for which `is_silent`."""
-
-    def __init__(
-        self,
-        answer_s: float,
-        is_silent: Callable[[int, float], bool] = lambda number, sent_s: False,
-        outage_s: tuple[float, float] = (math.inf, math.inf),
-    ) -> None:
-        self.answer_s = answer_s
-        self.outage_begins_s, self.outage_ends_s = (
-            outage_s  # requests fail at once meanwhile, and open ones at its begin
-        )
-        self.is_silent = is_silent  # by the number of the request and the time at which it was sent
-        self.generation = 1
-        self.sent_s: list[float] = []  # when requests were sent
-        self.open_requests = self.max_open_requests = 0
-        self._changed = asyncio.Event()
-
-    def change(self) -> None:
-        """Let an endpoint drain."""
-        self.generation += 1
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def answer(self, request: bytes) -> Response:
-        """Answer a request. Raises ConnectionResetError in an outage."""
-        now_s = asyncio.get_running_loop().time()
-        if now_s >= self.outage_ends_s or self.outage_begins_s == math.inf:
-            return await self._answer(request)
-        try:
-            async with asyncio.timeout(max(0.0, self.outage_begins_s - now_s)):
-                return await self._answer(request)
-        except TimeoutError:
-            raise ConnectionResetError("discovery is down") from None
-
-    async def _answer(self, request: bytes) -> Response:
-        number, now_s = len(self.sent_s), asyncio.get_running_loop().time()
-        self.sent_s.append(now_s)
-        self.open_requests += 1
-        self.max_open_requests = max(self.max_open_requests, self.open_requests)
-        try:
-            if self.is_silent(number, now_s):
-                await asyncio.Event().wait()
-            query = re.search(rb"after=(\d+)&wait_ms=(\d+)", request)
-            if query is None:
-                await asyncio.sleep(self.answer_s)
-                return Response(200, [], listing(self.generation, True, DRAINING))
-            after, wait_s = int(query[1]), int(query[2]) / 1000
-            if after == self.generation and wait_s:
-                await asyncio.wait([asyncio.ensure_future(self._changed.wait())], timeout=wait_s)
-            generation = self.generation
-            await asyncio.sleep(self.answer_s)
-        finally:
-            self.open_requests -= 1
-        return Response(200, [], listing(generation, False, *([DRAINING] if after < generation else [])))
-
-    def new_client(self, _: int) -> FakeClient:
-        return FakeClient(self)
-
-
-class FakeClient:
-    """A client whose connections are established at once."""
-
-    def __init__(self, discovery: SlowDiscovery) -> None:
-        self.discovery = discovery
-
-    async def fetch(self, host: str, port: int, request: bytes, timeout_s: float) -> Response:
-        async with asyncio.timeout(timeout_s):
-            return await self.discovery.answer(request)
-
-    def close_connection(self) -> None:
-        """Do nothing: the request itself is cancelled."""
-
-
 class Watched:
     """One instance that watches a slow discovery, and when it learned of the change."""
 
