--- a/tests/membership/test_slow_discovery.py
+++ b/tests/membership/test_slow_discovery.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from eiderhub.interface import ListForm
 from eiderhub.membership.endpoint_list import ListedEndpoint
-from eiderhub.membership.poll_schedule import WATCH_SLACK_S, PollSchedule
+from eiderhub.membership.poll_schedule import MAX_RECHECKS, RECHECK_TIMEOUT_S, WATCH_SLACK_S, PollSchedule
 from eiderhub.membership.watch_suspicion import WatchSuspicion
 from eiderhub.sidecar import discovery as discovery_module
 from eiderhub.sidecar.discovery import Watcher
@@ -30,6 +30,7 @@
 RUNS_ON_S = 30.0
 ROUND_TRIP_S = 0.25  # a connection and an answer of a discovery that is not overloaded
 
+LAST_RECHECK_S = WATCH_SLACK_S + (MAX_RECHECKS - 1) * RECHECK_TIMEOUT_S  # after the wait of a watch, when it is sent
 GRACES_S = st.sampled_from([0.5, 1.0])
 OFFSETS = st.floats(0.0, 0.999)
 
@@ -101,7 +102,21 @@
     assert known_after(discovery, offset, grace_s, change_s) <= limit_s
 
 
+def test_a_change_that_a_silent_watch_missed_is_known_in_time_where_answers_are_slow() -> None:
+    """Guards against a recheck that is sent too late for an answer that takes long (issue 39)."""
+    late = []
+    for grace_s, answer_s, before_end_s in itertools.product((0.5, 1.0), (1.0, 2.0, LONGEST_ANSWER_S), (0.01, 3.9)):
+        discovery = SlowDiscovery(answer_s, lambda number, _: number == 0)
+        known_s = known_after(discovery, 0.5, grace_s, first_wait_s(0.5, grace_s) - before_end_s)
+        late_s = known_s - (before_end_s + NOTIFIED_AFTER_WAIT_S + grace_s - HOLD_UP_S)
+        if late_s > 0:
+            late.append((grace_s, answer_s, before_end_s, round(late_s, 2)))
+    assert late == []
+
+
 @given(offset=OFFSETS, grace_s=GRACES_S, silence_s=st.floats(0.5, 60.0))
+@example(offset=0.999, grace_s=1.0, silence_s=LAST_RECHECK_S + 0.01)
+@example(offset=0.999, grace_s=0.5, silence_s=LAST_RECHECK_S + 0.01)
 def test_a_change_is_known_in_time_after_a_silence_of_all_requests(
     offset: float, grace_s: float, silence_s: float
 ) -> None:
