Review case 7: reloads in a row keep a slow discovery from being heard

Cause: each reload ends the open call to discovery and asks anew, also for an unchanged address. Change: the case with its test.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,46 @@
+"""New configurations in quick succession while discovery is slow: is nothing new sent to a drained endpoint?"""
+
+import asyncio
+from pathlib import Path
+
+from rig2 import TROUBLE, Client, Discovery, Endpoint, Record, Sidecar, now, play, running, small_deployment
+
+ANSWER_S = 2.0  # discovery answers "seconds late"; the site lets a call wait for 3 s
+RELOADS, RELOAD_INTERVAL_S = 7, 1.5
+TOLD_S = 6.0  # "a change counts as told at the latest 6 s after discovery had it and could be reached"
+GRACE_S = 1.0 + 0.05  # DrainGraceUs; "each time limit is 50 ms longer"
+MARGIN_S = 0.2  # for the hold-up that the pages allow, and for the stand-ins' own delays
+LOAD_S, RATE = 14.0, 30.0
+
+
+async def case(record: Record, folder: Path) -> bool:
+    discovery = Discovery(record, ANSWER_S)
+    await discovery.listen()
+    endpoints = [Endpoint(f"s-{i}", record, 0.1) for i in range(4)]
+    for endpoint in endpoints:
+        await endpoint.listen()
+        discovery.set(endpoint.name, endpoint.address)
+    sidecar = Sidecar(folder, discovery, small_deployment(Rank=3))
+    async with running(sidecar):
+        client = Client(sidecar, record)
+        load = asyncio.create_task(client.load(RATE, now() + LOAD_S))
+        await asyncio.sleep(1.0)
+        drained = endpoints[0]
+        discovery.set(drained.name, drained.address, "draining")
+        had_it = now()
+        for _ in range(RELOADS if TROUBLE else 0):
+            sidecar.write_config(known=discovery.full_list())
+            sidecar.reload()
+            record.add("SIGHUP: a new configuration, with the same address of discovery")
+            await asyncio.sleep(RELOAD_INTERVAL_S)
+        await load
+    sends = [at - had_it for at, _ in drained.attempts if at > had_it]
+    late = [at for at in sends if at > TOLD_S + GRACE_S + MARGIN_S]
+    record.add(
+        f"the last request that {drained.name} got came {max(sends, default=0):.2f} s after "
+        f"discovery had its drain; {len(late)} came after {TOLD_S + GRACE_S + MARGIN_S:.2f} s"
+    )
+    return not late
+
+
+play(__file__, case)
