--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,11 +18,11 @@
     small_deployment,
 )
 
-MEMORY_MB, SOCKETS = 80, 640  # "at most 192 MB and 1,024 descriptors"; the narrow days set about as much
-CLIENTS = 150
+MEMORY_MB, SOCKETS = 64, 640  # "at most 192 MB and 1,024 descriptors"
+CLIENTS = 200
 LONG_REQUESTS = 4  # of each client, behind its first request
 BODY_BYTES = 64 * 1024  # "Bodies hold at most 64 KiB"
-WORK_S = 0.5
+WORK_S = 0.6
 PIECE_INTERVAL_S = 0.15  # between a client's first request and those behind it: "messages come in pieces"
 TENANT, DEADLINE_MS = "norte-pedal", 6000
 
