--- a/review/rig2.py
+++ b/review/rig2.py
@@ -426,6 +426,7 @@
     record = Record(Path(file).resolve().parent)
     folder = Path(tempfile.mkdtemp(prefix="case-"))
     status = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # the sidecar is ended then too
     try:
         held = asyncio.run(asyncio.wait_for(case(record, folder), TIME_LIMIT_S))
         status = HELD if held else BROKEN
